Give a call its whole time where no second copy may go out

Where the settings forbid two attempts at once, a first attempt was cut at the earlier of four usual times and half its time, to leave room for another. Service times vary widely here: the cut hit sound large requests, whose work began anew elsewhere and was cut again. The usual time was learned from served calls alone, so each cut made the next one come sooner, and each counted as a call at its latest: the front tier shed for it.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -273,14 +273,12 @@
             self._actions.append(face.CloseIdle(server.member.server))  # what is unused so long may be dead
             idle = 0.0
         repeatable = request.cls.effect is not Effect.UNSAFE and self._settings.max_attempts > 1
-        if repeatable and not request.attempts:
+        if repeatable and self._settings.may_duplicate and not request.attempts:
             # Guards against silence and slowness of any cause: hung or failing servers, dropped connections.
             # It could harm by adding to a crowd: it keeps to the retry budget, and pressure holds it back.
+            # Where no second copy may go out, none is made room for: to cut the call short loses its work.
             patience = min(HEDGE_TIMES * request.heft * self._work[request.cls.name], HEDGE_PART * timeout)
-            if self._settings.may_duplicate:
-                self._actions.append(face.SetTimer(now + patience, f"hedge:{request.id}"))
-            else:
-                timeout = patience
+            self._actions.append(face.SetTimer(now + patience, f"hedge:{request.id}"))
         server.catch_up(now)
         server.in_flight += 1
         self._count(1, now)
