Shed load by the calls out now, by worth, in place of a mean of answer times

The front tier shed by a mean of answer times against half the aim, faded over 3.5 s, and by a mean of calls out over 1.5 s. Work varies widely here, so large requests read as lateness on an idle fleet, and half of the work inside the shares was refused; a burst was let in whole, and the servers it crowded stay two to three times slower for seconds.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -21,23 +21,18 @@
 MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
 PRIOR_CALLS = 2.0  # calls' worth of belief in the median, so that one slow answer does not ruin an estimate
 LOSS_TIMES = 2.0  # a call waited for over so many usual times counts as lost in full
-STEP_MS = 20.0  # estimates and the level are brought up to date in steps of this; it only saves work
+STEP_MS = 20.0  # estimates are brought up to date in steps of this; it only saves work
 HEDGE_TIMES, HEDGE_PART = 4.0, 0.5  # a second copy: after so many usual answers, or this part of its time
 RETRY_BUDGET, RETRY_BURST = 0.2, 10.0  # further attempts for each first one, and how many may be saved up
 QUOTA_BURST_MS = 2_000.0  # a tenant may use this much of its share at once
 COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
 MEDIAN_STEP_MS = 500.0  # the median is taken anew after this; it only saves work
-OFFER_CALLS = 50.0  # what is offered and usual is smoothed over so many calls: shares hold steady
+OFFER_CALLS = 50.0  # what is usual is smoothed over so many calls
 IDLE_CALLS = 40  # so many last calls on idle connections tell how long these live
-PRESSURE_MS = 3_500.0  # what answers tell of crowding fades by 1/e over this: with less, chance alone sheds
-PRESSURE_CALLS = 2.0  # calls' worth of belief that all is well, so that one late answer sheds nothing
-EASY_PART, EASY_MOST, EASY_STEP = 0.3, 0.2, 0.1  # easy time: the quantile, its bound as a part of the aim
-EASE, FULL = 0.17, 0.34  # mean lateness (a square) up to which all, and from which on the least, is let in
-CROWD_MS, CROWD_EASE, CROWD_FULL = 1_500.0, 2.0, 4.0  # calls for each unit of size, see `_let_in`
-CROWD_UNSEEN = 0.5  # calls added to our own mean: one of hundreds sees few, and by chance none
+CROWD_EASE, CROWD_FULL = 5.0, 9.0  # calls out for each unit of size that shed the least and the dearest work
+CROWD_LEAST = 8  # so many calls of ours are no crowd: one balancer of hundreds has them by chance
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
-LEVEL_MIN = 0.05  # let in whatever happens, so that recovery is seen
 ASIDE_CALLS, ASIDE_SHARE, ASIDE_MOST = (
     2.0,
     1 / 3,
@@ -123,13 +118,11 @@
         self._ready: list[_Server] = []
         self._near: list[_Server] = []
         self._requests: dict[int, _Request] = {}
-        # The time that a call of each class takes, as we see it, and where nothing crowds (a low quantile).
+        # The time that a call of each class takes, as we see it.
         self._work = {c.name: c.aim_ms / 5 for c in settings.classes}
-        self._easy = {c.name: EASY_MOST * c.aim_ms for c in settings.classes}
-        self._offered: dict[float, float] = {}
-        self._late, self._answers, self._weighed = 0.0, 0.0, 0.0
-        self._out, self._crowd, self._crowd_at, self._fleet = 0, 0.0, 0.0, 1.0
-        self._level, self._level_at, self._list_failures, self._shedding_until = 1.0, -math.inf, 0, -math.inf
+        self._dearest = max(c.worth for c in settings.classes) or 1.0
+        self._out, self._fleet = 0, 1.0
+        self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
         self._quota = {t.name: t.quota_per_s / settings.balancers / 1000 for t in settings.tenants}
         self._share: dict[str, tuple[float, float]] = {}
@@ -203,58 +196,25 @@
             request.size = event.hint_ms / self._hint
         self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
         if self._settings.calling_tier == 0 and not self._admitted(request, event.tenant, now):
-            self._shed(request, "answers take too long: shedding the least worth first", now)
+            self._shed(request, "too many calls are out: shedding the least worth first", now)
         elif not self._try_send(request, now):
             self._shed(request, "no server may take a call: refusing", now)
 
     def _admitted(self, request: _Request, tenant: str | None, now: float) -> bool:
-        """Shed load by worth: the level is the part of the work offered that is let in, the dearest first."""
+        """Shed load by worth: the dearer a request, the more calls may be out when it is let in."""
         worth = request.cls.worth
         worth *= self._settings.over_share_worth if self._over_share(tenant, now) else 1.0
-        self._offered = {known: work * (1 - 1 / OFFER_CALLS) for known, work in self._offered.items()}
-        self._offered[worth] = self._offered.get(worth, 0.0) + self._work[request.cls.name]
-        dearer = sum(count for known, count in self._offered.items() if known > worth)
-        room = self._let_in(now) * sum(self._offered.values()) - dearer
-        return self._random.random() * self._offered[worth] <= room
-
-    def _let_in(self, now: float) -> float:
-        """The part of the offered work that is let in: less as answers, and calls still out, near their aim.
-
-        Guards against crowding whatever its cause (overload, lost servers, slow ones), also before the first
-        late answer, and lifts as the evidence fades. It harms where calls fail for other causes or are slow
-        by themselves: nothing is shed while few are out for each unit of size, judged by ours.
+        return not self._crowded(worth / self._dearest)
+
+    def _crowded(self, part: float) -> bool:
+        """Whether too many calls are out for work of this part of the dearest's worth.
+
+        Guards against crowding whatever its cause (overload, lost servers, slow ones) before the servers slow
+        down: late answers come too late to tell, and work of widely varying size looks late without a crowd.
+        The calls of all balancers are judged by ours; it harms where callers spread unevenly over them.
         """
-        if now - self._level_at >= STEP_MS:
-            self._level_at = now
-            out = sum(self._silence(now - r.arrived, r) for r in self._requests.values() if r.owed)
-            fade = math.exp((self._weighed - now) / PRESSURE_MS)
-            pressure = (self._late * fade + out) / (self._answers * fade + out + PRESSURE_CALLS)
-            spare = (CROWD_FULL - self._count(0, now)) / (CROWD_FULL - CROWD_EASE)
-            self._level = min(max((FULL - pressure) / (FULL - EASE), spare, LEVEL_MIN), 1.0)
-        return self._level
-
-    def _count(self, change: int, now: float) -> float:
-        """Book a call sent or ended; the mean number out at all balancers for each unit of size, or more."""
-        fade, self._crowd_at = math.exp((self._crowd_at - now) / CROWD_MS), now
-        self._crowd = self._crowd * fade + self._out * (1 - fade)
-        self._out += change
-        return (self._crowd + CROWD_UNSEEN) * self._settings.balancers / self._fleet
-
-    def _lateness(self, elapsed: float, request: _Request) -> float:
-        """How far a call is from its easy time to half its aim, squared: work as such is not lateness."""
-        easy, half = self._easy[request.cls.name], request.cls.aim_ms / 2
-        return min(max(elapsed / request.heft - easy, 0.0) / (half - easy), 1.0) ** 2
-
-    def _silence(self, elapsed: float, request: _Request) -> float:
-        """What a call without an answer tells: it fades from half its aim on, to weigh as one answer does."""
-        over = max(elapsed / request.heft - request.cls.aim_ms / 2, 0.0)
-        return self._lateness(elapsed, request) * math.exp(-over / PRESSURE_MS)
-
-    def _weigh(self, lateness: float, news: float, now: float) -> None:
-        """Book how late an answer was, and how much of an answer it is."""
-        fade, self._weighed = math.exp((self._weighed - now) / PRESSURE_MS), now
-        self._answers = self._answers * fade + news
-        self._late = self._late * fade + news * lateness
+        calls = (CROWD_EASE + (CROWD_FULL - CROWD_EASE) * part) * self._fleet / self._settings.balancers
+        return self._out >= max(calls, CROWD_LEAST)
 
     def _shed(self, request: _Request, reason: str, now: float) -> None:
         """Give up a request that was never sent; one line in the log for a whole spell."""
@@ -275,13 +235,13 @@
         repeatable = request.cls.effect is not Effect.UNSAFE and self._settings.max_attempts > 1
         if repeatable and self._settings.may_duplicate and not request.attempts:
             # Guards against silence and slowness of any cause: hung or failing servers, dropped connections.
-            # It could harm by adding to a crowd: it keeps to the retry budget, and pressure holds it back.
+            # It could harm by adding to a crowd: it keeps to the retry budget, and a crowd holds it back.
             # Where no second copy may go out, none is made room for: to cut the call short loses its work.
             patience = min(HEDGE_TIMES * request.heft * self._work[request.cls.name], HEDGE_PART * timeout)
             self._actions.append(face.SetTimer(now + patience, f"hedge:{request.id}"))
         server.catch_up(now)
         server.in_flight += 1
-        self._count(1, now)
+        self._out += 1
         request.attempts.append(_Attempt(server, idle, now, timeout))
         if now < self._cold_until and self._warmth(server, now) < 1:
             server.sends.append(now)
@@ -294,7 +254,7 @@
         request = self._requests.get(int(number)) if hedging else None
         if kind == "list":
             self._actions.append(face.Subscribe())
-        elif request and request.owed and len(request.attempts) == 1 and self._let_in(now) >= 1:
+        elif request and request.owed and len(request.attempts) == 1 and not self._crowded(0.0):
             self._try_again(request, now)
 
     def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[_Request, _Attempt]:
@@ -477,22 +437,17 @@
             self._note_idle(attempt, outcome is not Outcome.SERVED)
         elapsed = now - attempt.sent
         if outcome is Outcome.SERVED:
-            self._weigh(self._lateness(elapsed, request), min(request.size, 1.0), now)
-            sooner = elapsed / request.heft < self._easy[cls.name]
-            easy = self._easy[cls.name] * (1 + EASY_STEP * (EASY_PART - sooner))
-            self._easy[cls.name] = min(easy, EASY_MOST * cls.aim_ms)
             self._work[cls.name] += (elapsed - self._work[cls.name]) / OFFER_CALLS
             server.served += request.size
             server.note(cls.name, 1.0, 0.0)
         elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT):
-            self._weigh(1.0, attempt.ran * self._silence(elapsed, request), now)
             server.busy += max(attempt.ends - now, 0.0)
             if outcome is Outcome.TIMED_OUT:
                 self._note_loss(attempt, request, now)
             else:
                 server.note(cls.name, 0.0, 1.0)
         server.in_flight -= 1
-        self._count(-1, now)
+        self._out -= 1
 
     # ---- the rules: cold servers ----------------------------------------------------------------
 
