Let callers keep their connections for a while after SIGTERM

An ending balancer closed idle connections 0.1 s after SIGTERM and asked for the end with every answer, while the other balancer of the site was still restarting: clients had no connection and could open none. They now keep what they have for 1.5 s, which leaves time to answer whatever comes before the platform kills.

What is left of the gap is the front's: it takes the balancer out 0.5 s after SIGTERM and admits the other 1 s later, and no connection comes in between.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -46,6 +46,7 @@
 SWEEP_S = 0.1
 FRESH_S = 0.1  # a connection is opened for a request, which follows
 TERM_ACCEPT_S = 0.5  # new connections go on coming for a while after SIGTERM
+TERM_STAY_S = 1.5  # so long after it callers may use those they have: another balancer may not be back yet
 _UNIT_MS = {b"m": 1.0, b"u": 0.001}
 _SPAN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])")
 _NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,9})?")
@@ -438,7 +439,7 @@
             return
         self._current = None
         last = not self._waiting and not self._bad
-        self._write(status, headers, body, close=last and (self._callers.ending or not taken.keep_alive))
+        self._write(status, headers, body, close=last and (self._callers.closing or not taken.keep_alive))
         self._count()
         self._advance()
 
@@ -492,7 +493,7 @@
     ) -> None:
         self.loop, self.desk, self.report = loop, desk, report
         self.classes = {c.name: c for c in config.settings.classes}
-        self.ending = False
+        self.ending = self.closing = False
         self._longest_s = max(c.deadline_ms for c in config.settings.classes) / 1000
         self._cap = max(config.sockets // 2 - SPARE_SOCKETS, 4)
         self.held = 0  # bytes that callers have us hold
@@ -585,8 +586,9 @@
     async def end(self) -> None:
         """After SIGTERM: take in what still comes, answer all of it, and close without losing any.
 
-        Answers ask callers to go elsewhere from now on. The listener closes when nothing new comes any
-        more, right after its queue has been emptied: what waits there would be reset.
+        The listener closes when nothing new comes any more, right after its queue has been emptied: what
+        waits there would be reset. Callers keep the connections they have for a while, as long as there is
+        time to answer what comes on them; then answers ask them to go elsewhere.
         """
         self.ending = True
         started = time.monotonic()
@@ -595,6 +597,9 @@
         self._pause()
         self._listener.close()
         longest_s = min(self._longest_s, TERM_LONGEST_S)
+        while self._connections and time.monotonic() - started < TERM_STAY_S:
+            await asyncio.sleep(0.01)
+        self.closing = True
         while self._connections and time.monotonic() - started < TERM_ACCEPT_S + longest_s:
             for connection in self._connections:
                 if connection.idle_since < time.monotonic() - FRESH_S and connection.may_end():
