--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -196,15 +196,19 @@
             self._hint += (event.hint_ms - self._hint) / OFFER_CALLS if self._hint else event.hint_ms
             request.size = event.hint_ms / self._hint
         self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
-        if self._settings.calling_tier == 0 and not self._admitted(request, event.tenant, now):
+        if self._settings.calling_tier == 0 and not self._admitted(
+            request, event.tenant, event.remaining_ms, now
+        ):
             self._shed(request, "too many calls are out: shedding the least worth first", now)
         elif not self._try_send(request, now):
             self._shed(request, "no server may take a call: refusing", now)
 
-    def _admitted(self, request: _Request, tenant: str | None, now: float) -> bool:
+    def _admitted(self, request: _Request, tenant: str | None, remaining: float, now: float) -> bool:
         """Shed load by worth: the dearer a request, the more calls may be out when it is let in."""
         over = self._over_share(tenant, now)
         worth = request.cls.worth * (self._settings.over_share_worth if over else 1.0)
+        if request.cls.deadline_ms - remaining > request.cls.aim_ms:
+            worth *= request.cls.late_share  # a client's further try, past its aim before it came
         if self._crowded(worth / self._dearest):
             return False
         if tenant in self._share and not over:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -450,6 +450,16 @@
     assert len(flood(desk, tenant="small")) == 6, "all inside its share: what is past it would be shed here"
 
 
+def test_a_further_try_past_its_aim_makes_way_for_those_still_in_time() -> None:
+    """Calls that timed out came back from the client, worth nothing any more, and ranked as dear as any."""
+    desk = Desk(4)
+    assert sent(desk.ask(remaining=1_900)[1]), "nothing else asks for the room"
+    for request, server in flood(desk)[:6]:
+        desk.end(request, 0, server, Outcome.SERVED)
+    assert not sent(desk.ask(remaining=1_900)[1]), "its client began 1,100 ms ago and wanted it within 1,000"
+    assert sent(desk.ask(remaining=2_100)[1])
+
+
 def test_one_of_many_balancers_keeps_to_a_stable_part_of_the_servers() -> None:
     """Calls spread over all servers are too few at each to learn it or to use a connection twice."""
     parts = []
