Compare drawn servers by load alone, without a bias of three by zone

A server of another zone was taken only if it carried two to three times less than one of ours, though crossing zones costs 2 to 3 ms and calls take hundreds. The servers of one zone held two to five times the calls of another's and tipped into their slow state. The design compares (in flight + 1)/capacity; the first draw still prefers our zone.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -17,7 +17,6 @@
 from basaltspindle.interface import Effect, ListKind, Outcome, RepeatGroup
 
 DRAWS = 4  # the most for d of the design, while each server drawn holds a call of ours
-ZONE_BIAS = 3  # so many times less one of another zone must carry; as many as our zone has at the most
 MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
 PRIOR_CALLS = 2.0  # calls' worth of belief in the median, so that one slow answer does not ruin an estimate
 LOSS_TIMES = 2.0  # a call waited for over so many usual times counts as lost in full
@@ -376,13 +375,11 @@
         able = self._sound(able, request.cls.name, now)
         capacity = [self._capacity(s, median, now) for s in able]
         near, wide = list(accumulate(self._by_zone(able, capacity))), list(accumulate(capacity))
-        away = min(sum(s.member.zone == self._settings.zone for s in able), ZONE_BIAS) or 1
         best, chosen = (math.inf, 0.0, 0.0), able[-1]
         for draw in range(DRAWS):
             sums = wide if draw else near  # against crowding our zone: others may have servers nobody calls
             i = min(bisect(sums, self._random.random() * sums[-1]), len(able) - 1)
-            times = 1 if able[i].member.zone == self._settings.zone else away
-            load = (times * (able[i].in_flight + 1) / capacity[i], -capacity[i], self._random.random())
+            load = ((able[i].in_flight + 1) / capacity[i], -capacity[i], self._random.random())
             if load < best:
                 best, chosen = load, able[i]
             if not able[i].in_flight:
