--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -148,9 +148,9 @@
     """One of two balancers sent nearly all to the one server of its zone; two zones stood idle."""
     desk = Desk(0, zone="a", balancers=2, may_duplicate=False)
     desk.show(*(Member(zone, zone=zone) for zone in "abcd"))
-    got = Counter(sent(desk.ask(PAY)[1])[0].server for _ in range(18))
+    got = Counter(sent(desk.ask(PAY)[1])[0].server for _ in range(16))
     assert got.keys() == {"a", "b", "c", "d"}
-    assert max(got.values()) == got["a"] < 13
+    assert max(got.values()) == got["a"] < 12
 
 
 def test_a_balancer_whose_zone_has_no_server_uses_all_the_others() -> None:
@@ -356,7 +356,7 @@
     """Judged by a mean over seconds, a burst was let in whole; crowded servers then stay slow for long."""
     desk = Desk(4, balancers=2)
     out = flood(desk)
-    assert 12 <= len(out) <= 24, "a few calls for each server, of which the other balancer sends its part"
+    assert 10 <= len(out) <= 16, "a few calls for each server, of which the other balancer sends its part"
     logs = [a for a in desk.log if isinstance(a, Log) and "shedding" in a.text]
     assert len(logs) == 1, "one line for a whole spell of shedding"
     desk.now += 50
