Say in a refusal when to come back, where the settings allow it

The settings name the longest Retry-After that clients heed, and no refusal carried one. It now names the time that a usual call of the class takes: by then some of the calls out have ended. The refusal itself goes out at once, as before.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -315,7 +315,9 @@
     def _give_up(self, request: _Request) -> None:
         request.owed = False
         harmless = request.cls.effect is Effect.SAFE or not any(a.ran for a in request.attempts)
-        self._actions.append(face.Refuse(request.id) if harmless else face.Fail(request.id))
+        # By the time that a usual call takes there is room again, of calls that are out now.
+        after = min(self._work[request.cls.name], self._settings.max_retry_after_ms)
+        self._actions.append(face.Refuse(request.id, after) if harmless else face.Fail(request.id))
         self._drop_if_over(request)
 
     def _cancel_rest(self, request: _Request) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -439,6 +439,16 @@
     assert let_in["small"] > 1.5 * let_in["big"] > 0
 
 
+@pytest.mark.parametrize(("most", "wanted"), [(0.0, 0.0), (10.0, 10.0), (2_000.0, 40.0)])
+def test_a_refusal_says_when_to_come_back_where_the_settings_allow(most: float, wanted: float) -> None:
+    desk = Desk(4, max_retry_after_ms=most)
+    for _ in range(500):
+        desk.serve(takes=40.0)
+    flood(desk)
+    (refused,) = (a for a in desk.ask()[1] if isinstance(a, Refuse))
+    assert refused.retry_after_ms == pytest.approx(wanted, rel=0.05), "the time that a usual call takes"
+
+
 def test_what_is_shed_uses_up_no_share() -> None:
     """Clients ask again after a refusal: a request shed in a crowd was counted twice."""
     desk = Desk(4, tenants=(Tenant("small", 4.0),), over_share_worth=0.1)
