Keep callers after SIGTERM for no more than half the longest wait

Where all deadlines are short the platform kills before 1.5 s are over; what came on a kept connection would be lost.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -597,7 +597,8 @@
         self._pause()
         self._listener.close()
         longest_s = min(self._longest_s, TERM_LONGEST_S)
-        while self._connections and time.monotonic() - started < TERM_STAY_S:
+        # The platform's patience goes by the longest wait: half of it is left to answer what comes last.
+        while self._connections and time.monotonic() - started < min(TERM_STAY_S, longest_s / 2):
             await asyncio.sleep(0.01)
         self.closing = True
         while self._connections and time.monotonic() - started < TERM_ACCEPT_S + longest_s:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -345,8 +345,10 @@
     async def scenario() -> None:
         monkeypatch.setattr("basaltspindle.net.callers.TERM_ACCEPT_S", 0.0)
         monkeypatch.setattr("basaltspindle.net.callers.TERM_STAY_S", 60.0)
+        monkeypatch.setattr("basaltspindle.net.callers.TERM_LONGEST_S", 120.0)
         async with Rig(Upstream()) as rig:
             callers = rig.driver.callers
+            callers._longest_s = 120.0
             caller = await rig.caller()
             caller.send()
             assert status(await caller.answer()) == 200
@@ -365,6 +367,25 @@
     run(scenario())
 
 
+def test_callers_stay_no_longer_than_half_the_longest_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The platform kills soon after the longest wait: what came on a connection kept for longer is lost."""
+
+    async def scenario() -> None:
+        monkeypatch.setattr("basaltspindle.net.callers.TERM_STAY_S", 60.0)
+        async with Rig(Upstream()) as rig:
+            caller = await rig.caller()
+            caller.send()
+            assert status(await caller.answer()) == 200
+            rig.driver.callers._longest_s = 0.2
+            ending = asyncio.ensure_future(rig.driver.callers.end())
+            assert await caller.reader.read() == b""  # a clean end
+            assert rig.driver.callers.closing, "not just as one that stood idle"
+            caller.writer.close()
+            await ending
+
+    run(scenario())
+
+
 def test_the_end_answers_what_was_taken_and_takes_what_still_comes(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
         monkeypatch.setattr("basaltspindle.net.callers.TERM_STAY_S", 0.0)
