Judge the fleet's calls by this balancer's mean, not by what it has at one moment

Counted across the fleet, all refusals inside shares came from the bound on calls out, none from a lack of servers, and tier two refused nothing.

Lines at fault: `_crowded` compared the calls of this moment with its seventh of the bound, and CROWD_LEAST lifted every bound under 8. Work past its share, bounded at 5.9 calls, was let in up to 8 and took the room of work inside its share, bounded at 11.4; and after a lost zone seven times 8 calls came to 11 for each server left. Ruled out: shares counted a balancer (0.4% of the others' requests were taken for more than their share), lack of room at tier two (2 of 6,540 calls rejected).

Now each other balancer is held to have our mean of the last second, and a burst that all get at once is bounded by our part and its square root; CROWD_LEAST stays for that bound alone.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -29,7 +29,8 @@
 OFFER_CALLS = 50.0  # what is usual is smoothed over so many calls
 IDLE_CALLS = 40  # so many last calls on idle connections tell how long these live
 CROWD_EASE, CROWD_FULL = 4.0, 8.0  # calls out for each unit of size that shed the least and the dearest work
-CROWD_LEAST = 8  # so many calls of ours are no crowd: one balancer of hundreds has them by chance
+CROWD_LEAST = 8  # so many calls of ours are no burst: one balancer of hundreds has them by chance
+CROWD_MS = 1_000.0  # our calls are averaged over this: longer than a call, shorter than servers bear a crowd
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
 ASIDE_CALLS, ASIDE_SHARE, ASIDE_MOST = (
@@ -121,6 +122,7 @@
         self._work = {c.name: c.aim_ms / 5 for c in settings.classes}
         self._dearest = max(c.worth for c in settings.classes) or 1.0
         self._out, self._fleet = 0, 1.0
+        self._mean_out, self._out_seen = 0.0, 0.0
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
         self._quota = {t.name: t.quota_per_s / settings.balancers / 1000 for t in settings.tenants}
@@ -208,21 +210,32 @@
         worth = request.cls.worth * (self._settings.over_share_worth if over else 1.0)
         if request.cls.deadline_ms - remaining > request.cls.aim_ms:
             worth *= request.cls.late_share  # a client's further try, past its aim before it came
-        if self._crowded(worth / self._dearest):
+        if self._crowded(worth / self._dearest, now):
             return False
         if tenant in self._share and not over:
             self._share[tenant] -= 1  # what is shed uses up nothing: its client may ask again
         return True
 
-    def _crowded(self, part: float) -> bool:
+    def _count_out(self, change: int, now: float) -> None:
+        """Count a call that goes out or comes back, and bring their mean to `now`."""
+        self._mean_out += (self._out - self._mean_out) * (1 - math.exp((self._out_seen - now) / CROWD_MS))
+        self._out_seen = now
+        self._out += change
+
+    def _crowded(self, part: float, now: float) -> bool:
         """Whether too many calls are out for work of this part of the dearest's worth.
 
         Guards against crowding whatever its cause (overload, lost servers, slow ones) before the servers slow
         down: late answers come too late to tell, and work of widely varying size looks late without a crowd.
-        The calls of all balancers are judged by ours; it harms where callers spread unevenly over them.
+        The calls of all balancers are judged by ours: each of the others is held to have our mean, since what
+        we have by chance at this moment they have not; a burst that all get passes no chance (a square root).
+        It harms where callers spread unevenly over the balancers.
         """
-        calls = (CROWD_EASE + (CROWD_FULL - CROWD_EASE) * part) * self._fleet / self._settings.balancers
-        return self._out >= max(calls, CROWD_LEAST)
+        self._count_out(0, now)
+        most = (CROWD_EASE + (CROWD_FULL - CROWD_EASE) * part) * self._fleet
+        others = self._mean_out * (self._settings.balancers - 1)
+        own = most / self._settings.balancers
+        return self._out + others >= most or self._out >= max(own + math.sqrt(own), CROWD_LEAST)
 
     def _shed(self, request: _Request, reason: str, now: float) -> None:
         """Give up a request that was never sent; one line in the log for a whole spell."""
@@ -249,7 +262,7 @@
             self._actions.append(face.SetTimer(now + patience, f"hedge:{request.id}"))
         server.catch_up(now)
         server.in_flight += 1
-        self._out += 1
+        self._count_out(1, now)
         request.attempts.append(_Attempt(server, idle, now, timeout))
         if now < self._cold_until and self._warmth(server, now) < 1:
             server.sends.append(now)
@@ -262,7 +275,7 @@
         request = self._requests.get(int(number)) if hedging else None
         if kind == "list":
             self._actions.append(face.Subscribe())
-        elif request and request.owed and len(request.attempts) == 1 and not self._crowded(0.0):
+        elif request and request.owed and len(request.attempts) == 1 and not self._crowded(0.0, now):
             self._try_again(request, now)
 
     def _made(self, event: face.AttemptEnded | face.AnswerStarted) -> tuple[_Request, _Attempt]:
@@ -455,7 +468,7 @@
             else:
                 server.note(cls.name, 0.0, 1.0)
         server.in_flight -= 1
-        self._out -= 1
+        self._count_out(-1, now)
 
     # ---- the rules: cold servers ----------------------------------------------------------------
 
