Set a server aside after failed connects in a row, whatever it served before

Lines at fault: `_sound` and `loses` weigh losses against what the server served before, each class for itself, so that about seven connects of each class had to fail at each balancer. A connect that fails says nothing of a class, and a record says nothing of a dead process. Ruled out: late news alone (the same stale list is no harm once the server is set aside).

Now failed connects in a row (two within seconds) set a server aside for all classes, also if most servers are; any answer takes it back, and within seconds it is tried again.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -44,7 +44,7 @@
 class _Server:
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
-    __slots__ = tuple("busy in_flight luck member rank ready seen sends served size used".split())
+    __slots__ = tuple("away busy in_flight luck member rank ready seen sends served size used".split())
 
     def __init__(self, member: face.Member, now: float, rank: float) -> None:
         self.member, self.rank = member, rank
@@ -57,6 +57,7 @@
         """Drop the evidence: the process behind the name is a new one."""
         self.served, self.busy, self.seen = 0.0, 0.0, now
         self.luck: dict[str, tuple[float, float]] = {}  # calls served and lost, by class
+        self.away = 0.0  # connects failed since it last answered
 
     def catch_up(self, now: float) -> None:
         """Bring the evidence to `now`: calls in flight add time, and all of it fades."""
@@ -64,6 +65,7 @@
         self.served *= fade
         self.busy = self.busy * fade + self.in_flight * (now - self.seen)
         self.luck = {cls: (good * fade, bad * fade) for cls, (good, bad) in self.luck.items()}
+        self.away *= fade
         self.seen = now
 
     def note(self, cls: str, served: float, lost: float) -> None:
@@ -407,11 +409,13 @@
         Guards against servers that hang or fail for one class and serve the others well, which their capacity
         over all classes hides; dead and very slow ones go sooner by it too. Where most lose calls the cause
         is a common one and nobody is set aside. It harms where the rest is then crowded; what is known fades
-        within seconds, and one more call lost sets the server aside again.
+        within seconds, and one more call lost sets the server aside again. Where connects fail one after
+        another the server is away, whatever it did before, and however many others are.
         """
         for server in able:
-            if server.luck and now - server.seen >= STEP_MS:
+            if (server.luck or server.away) and now - server.seen >= STEP_MS:
                 server.catch_up(now)
+        able = [s for s in able if s.away <= 1] or able
         sound = [s for s in able if not s.loses(cls)]
         return sound if 2 * len(sound) >= len(able) else able
 
@@ -456,6 +460,10 @@
         server.used = now if outcome in (Outcome.SERVED, Outcome.ERROR) else math.inf
         if outcome in (Outcome.SERVED, Outcome.TIMED_OUT, Outcome.RESET):
             self._note_idle(attempt, outcome is not Outcome.SERVED)
+        if outcome is Outcome.CONNECT_FAILED:
+            server.away = min(server.away + 1, ASIDE_MOST)
+        elif outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT, Outcome.TIMED_OUT):
+            server.away = 0.0
         elapsed = now - attempt.sent
         if outcome is Outcome.SERVED:
             self._work[cls.name] += (elapsed - self._work[cls.name]) / OFFER_CALLS
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -191,6 +191,29 @@
 # ---- no lost request ----------------------------------------------------------------------------
 
 
+def test_a_server_that_cannot_be_reached_is_set_aside_though_it_served_well() -> None:
+    """A lost zone's servers were called on as long as what they had served before stood against it."""
+    desk = Desk(5, seed=3)
+    for _ in range(200):
+        desk.serve(takes=20.0)
+    got: Counter[str] = Counter()
+    for _ in range(200):
+        request, actions = desk.ask(PAY)
+        server = sent(actions)[0].server
+        got[server] += 1
+        desk.now += 5
+        lost = server in ("s0", "s1", "s2")
+        actions = desk.end(request, 0, server, Outcome.CONNECT_FAILED if lost else Outcome.SERVED)
+        for send in sent(actions):
+            desk.tell(ClientLeft(request))
+            desk.end(request, 1, send.server, Outcome.CANCELLED)
+    assert got["s0"] + got["s1"] + got["s2"] <= 8, (
+        "more than half of the servers, yet each is away for certain"
+    )
+    desk.now += 20_000
+    assert "s0" in shares(desk, 50), "and is tried again"
+
+
 def test_nothing_to_send_to_ends_in_a_refusal_at_once() -> None:
     desk = Desk(0)
     for _ in range(3):
