--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -26,6 +26,7 @@
 QUOTA_BURST_MS = 2_000.0  # a tenant may use this much of its share at once
 COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
 MEDIAN_STEP_MS = 500.0  # the median is taken anew after this; it only saves work
+FLEET_STEP_MS = 100.0  # the servers that can take calls are counted anew after this; it only saves work
 OFFER_CALLS = 50.0  # what is usual is smoothed over so many calls
 IDLE_CALLS = 40  # so many last calls on idle connections tell how long these live
 CROWD_EASE, CROWD_FULL = 4.0, 8.0  # calls out for each unit of size that shed the least and the dearest work
@@ -75,6 +76,11 @@
         scale = min(ASIDE_MOST / bad, 1.0) if bad else 1.0
         self.luck[cls] = good * scale, bad * scale
 
+    def is_lost(self) -> bool:
+        """Whether it is away, or loses calls of any class: several of late, and a good part of them."""
+        good, bad = (sum(part) for part in zip(*self.luck.values(), strict=True)) if self.luck else (0.0, 0.0)
+        return self.away > 1 or (bad >= ASIDE_CALLS and bad >= ASIDE_SHARE * (good + bad))
+
     def loses(self, cls: str) -> bool:
         """Whether it loses this class: several calls of late, and a good part of them."""
         good, bad = self.luck.get(cls, (0.0, 0.0))
@@ -123,7 +129,7 @@
         # The time that a call of each class takes, as we see it.
         self._work = {c.name: c.aim_ms / 5 for c in settings.classes}
         self._dearest = max(c.worth for c in settings.classes) or 1.0
-        self._out, self._fleet = 0, 1.0
+        self._out, self._fleet, self._fleet_at = 0, 1.0, -math.inf
         self._mean_out, self._out_seen = 0.0, 0.0
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
@@ -182,7 +188,7 @@
         # A balancer of hundreds calls each of all too seldom to learn it, or to use a connection twice.
         keep = max(SUBSET_MIN, math.ceil(len(self._ready) * SUBSET_COVER / self._settings.balancers))
         self._near = sorted(self._ready, key=lambda s: s.rank)[:keep]
-        self._fleet = sum(s.size for s in self._ready) or 1.0
+        self._fleet_at = -math.inf
         newest = max((s.member.up_since_ms for s in self._ready), default=0.0)
         self._cold_until = newest + self._settings.cold_ms
 
@@ -234,11 +240,20 @@
         It harms where callers spread unevenly over the balancers.
         """
         self._count_out(0, now)
-        most = (CROWD_EASE + (CROWD_FULL - CROWD_EASE) * part) * self._fleet
+        most = (CROWD_EASE + (CROWD_FULL - CROWD_EASE) * part) * self._able_fleet(now)
         others = self._mean_out * (self._settings.balancers - 1)
         own = most / self._settings.balancers
         return self._out + others >= most or self._out >= max(own + math.sqrt(own), CROWD_LEAST)
 
+    def _able_fleet(self, now: float) -> float:
+        """The size of the servers that can take calls: cold ones by their warmth, lost ones not at all."""
+        if now - self._fleet_at >= FLEET_STEP_MS:
+            self._fleet_at = now
+            for server in self._ready:
+                server.catch_up(now)
+            self._fleet = sum(s.size * self._warmth(s, now) for s in self._ready if not s.is_lost()) or 1.0
+        return self._fleet
+
     def _shed(self, request: _Request, reason: str, now: float) -> None:
         """Give up a request that was never sent; one line in the log for a whole spell."""
         if now > self._shedding_until:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -481,6 +481,32 @@
     assert held(desk, "big", 10) * balancers == pytest.approx(24, rel=0.25), "four for each server"
 
 
+@pytest.mark.parametrize(("change", "most"), [({}, 48), ({"up_since_ms": 1_000.0}, 29)])
+def test_cold_servers_make_room_for_no_more_calls_than_they_can_take(
+    change: dict[str, float], most: int
+) -> None:
+    """Cold ones in the list let in calls that only the others, slow already, could be sent."""
+    desk = Desk(6)
+    desk.show(*members(6)[:3], *members(6, **change)[3:])
+    assert len(flood(desk)) <= most
+    assert len(flood(desk)) == 0
+
+
+def test_servers_that_lose_their_calls_make_room_for_none() -> None:
+    """Until the list told of a lost zone, the calls of all its servers came to those that were left."""
+    desk = Desk(6, max_attempts=1)
+    out = flood(desk)
+    for request, server in out:
+        desk.end(request, 0, server, Outcome.SERVED)
+    for _ in range(100):
+        request, actions = desk.ask()
+        server = sent(actions)[0].server
+        desk.now += 20
+        lost = server in ("s0", "s1", "s2")
+        desk.end(request, 0, server, Outcome.CONNECT_FAILED if lost else Outcome.SERVED)
+    assert len(flood(desk)) < 0.6 * len(out)
+
+
 def test_a_chance_swing_of_one_of_many_balancers_is_no_crowd() -> None:
     """Inside its share a twelfth was refused for the calls that one of seven balancers had at one moment."""
     desk = Desk(10, balancers=7)
