End a list call whose answer stops short half a second after its first byte

A change 0.6 s after it was asked counts as told 6 s later, so servers that drained still got calls 0.81 and 0.99 s after that.

Lines at fault: `_call` in net/discovery.py gave an answer that had begun the whole wait of the watch and a second.

Now the whole answer has to come within 0.5 s of its first byte; after a silent watch, such an answer and both pauses it is told 2.5 s after the wait, within the 2 s and the drain's grace.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -16,6 +16,7 @@
 # though, and much shorter waits of a whole fleet would crowd it.
 WAIT_MS = 10_000  # of one watch call; news ends it at once
 LATE_S = 1.0  # past its wait, a watch call has failed: what it has to tell counts as told a second later
+WHOLE_S = 0.5  # from an answer's first byte to its last: one that stops short is not to be waited for
 SPREAD = 0.2  # part by which waits differ, so that balancers that started together do not call together
 ANSWER_S = 3.0  # a call without a wait that is not answered has failed; discovery itself gives up sooner
 CONNECT_S = 1.0  # a machine that is away says nothing: a wait that has not begun must not be waited out
@@ -30,6 +31,7 @@
         self._transport: asyncio.Transport | None = None
         self._reader = ResponseReader(LIST_MAX)
         self._answer: asyncio.Future[Answer] | None = None
+        self._limit: asyncio.Timeout | None = None
         self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -48,6 +50,11 @@
             self.closed = self.closed or not self._reader.may_reuse
             if self._answer is not None and not self._answer.done():
                 self._answer.set_result(answer)
+        elif self._limit is not None:
+            limit, self._limit = self._limit, None
+            ends = limit.when()
+            whole_by = asyncio.get_running_loop().time() + WHOLE_S
+            limit.reschedule(whole_by if ends is None else min(ends, whole_by))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """A call that is out has failed."""
@@ -58,12 +65,16 @@
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(error)
 
-    async def call(self, request: bytes) -> Answer:
+    async def call(self, request: bytes, timeout_s: float) -> Answer:
         """Send a call and wait for its answer."""
         assert self._transport is not None
         self._answer = asyncio.get_running_loop().create_future()
         self._transport.write(request)
-        return await self._answer
+        try:
+            async with asyncio.timeout(timeout_s) as self._limit:
+                return await self._answer
+        finally:
+            self._limit = None
 
     def close(self) -> None:
         """Close at once."""
@@ -135,8 +146,8 @@
         if self._link is None or self._link.closed:
             async with asyncio.timeout(CONNECT_S):
                 _, self._link = await asyncio.get_running_loop().create_connection(_Link, host, port)
-        async with asyncio.timeout(wait_s + LATE_S if wait_s else ANSWER_S):
-            answer = await self._link.call(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+        request = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
+        answer = await self._link.call(request, wait_s + LATE_S if wait_s else ANSWER_S)
         if answer.status != 200:
             raise ValueError(f"discovery answered {answer.status}")
         return read_list(json.loads(answer.body))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -630,3 +630,17 @@
             assert new.asked
 
     run(scenario())
+
+
+def test_a_list_that_stops_short_is_not_waited_for() -> None:
+    """Its rest was waited for as long as a watch may take; servers that drain got calls meanwhile."""
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            await rig.ask()
+            line = await rig.discovery.calls.get()
+            assert "wait_ms" in line, "a watch, that may take long to begin its answer"
+            rig.discovery.answers.put_nowait(response(200, b'{"index":8,"snap' + b" " * 900)[:-500])
+            await asyncio.wait_for(rig.discovery.calls.get(), 5)
+
+    run(scenario())
