Leave calls at servers that drain or are lost out of the bound on those left

Lines at fault: `_out` counted every call of this balancer, wherever it was, against a bound that the commits before had taken down to the servers that can take calls.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -129,7 +129,8 @@
         # The time that a call of each class takes, as we see it.
         self._work = {c.name: c.aim_ms / 5 for c in settings.classes}
         self._dearest = max(c.worth for c in settings.classes) or 1.0
-        self._out, self._fleet, self._fleet_at = 0, 1.0, -math.inf
+        self._able: list[_Server] = []
+        self._fleet, self._fleet_at = 1.0, -math.inf
         self._mean_out, self._out_seen = 0.0, 0.0
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
@@ -224,12 +225,6 @@
             self._share[tenant] -= 1  # what is shed uses up nothing: its client may ask again
         return True
 
-    def _count_out(self, change: int, now: float) -> None:
-        """Count a call that goes out or comes back, and bring their mean to `now`."""
-        self._mean_out += (self._out - self._mean_out) * (1 - math.exp((self._out_seen - now) / CROWD_MS))
-        self._out_seen = now
-        self._out += change
-
     def _crowded(self, part: float, now: float) -> bool:
         """Whether too many calls are out for work of this part of the dearest's worth.
 
@@ -239,11 +234,13 @@
         we have by chance at this moment they have not; a burst that all get passes no chance (a square root).
         It harms where callers spread unevenly over the balancers.
         """
-        self._count_out(0, now)
         most = (CROWD_EASE + (CROWD_FULL - CROWD_EASE) * part) * self._able_fleet(now)
+        out = sum(s.in_flight for s in self._able)  # calls elsewhere crowd none of those that are left
+        self._mean_out += (out - self._mean_out) * (1 - math.exp((self._out_seen - now) / CROWD_MS))
+        self._out_seen = now
         others = self._mean_out * (self._settings.balancers - 1)
         own = most / self._settings.balancers
-        return self._out + others >= most or self._out >= max(own + math.sqrt(own), CROWD_LEAST)
+        return out + others >= most or out >= max(own + math.sqrt(own), CROWD_LEAST)
 
     def _able_fleet(self, now: float) -> float:
         """The size of the servers that can take calls: cold ones by their warmth, lost ones not at all."""
@@ -251,7 +248,8 @@
             self._fleet_at = now
             for server in self._ready:
                 server.catch_up(now)
-            self._fleet = sum(s.size * self._warmth(s, now) for s in self._ready if not s.is_lost()) or 1.0
+            self._able = [s for s in self._ready if not s.is_lost()]
+            self._fleet = sum(s.size * self._warmth(s, now) for s in self._able) or 1.0
         return self._fleet
 
     def _shed(self, request: _Request, reason: str, now: float) -> None:
@@ -279,7 +277,6 @@
             self._actions.append(face.SetTimer(now + patience, f"hedge:{request.id}"))
         server.catch_up(now)
         server.in_flight += 1
-        self._count_out(1, now)
         request.attempts.append(_Attempt(server, idle, now, timeout))
         if now < self._cold_until and self._warmth(server, now) < 1:
             server.sends.append(now)
@@ -491,7 +488,6 @@
             else:
                 server.note(cls.name, 0.0, 1.0)
         server.in_flight -= 1
-        self._count_out(-1, now)
 
     # ---- the rules: cold servers ----------------------------------------------------------------
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -507,6 +507,15 @@
     assert len(flood(desk)) < 0.6 * len(out)
 
 
+def test_calls_at_servers_that_drain_crowd_none_of_those_left() -> None:
+    """In a release the calls that old servers still held filled the bound of the others."""
+    desk = Desk(6)
+    servers = [sent(desk.ask()[1])[0].server for _ in range(24)]
+    desk.show(*members(6)[:3], *members(6, readiness=Readiness.DRAINING)[3:])
+    left = sum(server in ("s0", "s1", "s2") for server in servers)
+    assert left + len(flood(desk)) == pytest.approx(24, abs=1), "eight for each server that is left"
+
+
 def test_a_chance_swing_of_one_of_many_balancers_is_no_crowd() -> None:
     """Inside its share a twelfth was refused for the calls that one of seven balancers had at one moment."""
     desk = Desk(10, balancers=7)
