Judge from requests and servers how many balancers are left after a lost zone

From 9 to 10 s all requests came to the other three, which had 10 or 11 calls out for five servers and refused 67 of 162 requests inside their share; of the rest of their requests, more than two fifths counted as past a share.

Lines at fault: `_crowded` took each of seven balancers to hold our mean, and `_quota` was a seventh of each share, whoever was left. Ruled out: lost servers in the bound (it counted 5 to 5.7 of them), tier two.

Now there are held to be as many balancers as servers, of what there usually is, if requests come so much more often too.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -32,6 +32,11 @@
 CROWD_EASE, CROWD_FULL = 4.0, 8.0  # calls out for each unit of size that shed the least and the dearest work
 CROWD_LEAST = 8  # so many calls of ours are no burst: one balancer of hundreds has them by chance
 CROWD_MS = 1_000.0  # our calls are averaged over this: longer than a call, shorter than servers bear a crowd
+LATE_CALLS, USUAL_CALLS = (
+    30,
+    1_000,
+)  # requests that tell how often they come now, and how often they usually do
+USUAL_MS = 20_000.0  # a lost server is missed for this
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
 ASIDE_CALLS, ASIDE_SHARE, ASIDE_MOST = (
@@ -130,11 +135,13 @@
         self._work = {c.name: c.aim_ms / 5 for c in settings.classes}
         self._dearest = max(c.worth for c in settings.classes) or 1.0
         self._able: list[_Server] = []
-        self._fleet, self._fleet_at = 1.0, -math.inf
+        self._fleet, self._fleet_at, self._fleet_usual = 1.0, -math.inf, 0.0
+        self._arrivals, self._arrived_at, self._pause, self._usual_pause = 0, 0.0, 0.0, 0.0
+        self._peers = float(settings.balancers)  # balancers held to be at work, with us
         self._mean_out, self._out_seen = 0.0, 0.0
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
-        self._quota = {t.name: t.quota_per_s / settings.balancers / 1000 for t in settings.tenants}
+        self._quota = {t.name: t.quota_per_s / 1000 for t in settings.tenants}
         self._share: dict[str, float] = {}  # requests that a tenant may still send inside its share
         self._share_seen: dict[str, float] = {}
         self._unsaid: list[face.Action] = [face.Subscribe()] if settings.list_is_asked else []
@@ -189,7 +196,7 @@
         # A balancer of hundreds calls each of all too seldom to learn it, or to use a connection twice.
         keep = max(SUBSET_MIN, math.ceil(len(self._ready) * SUBSET_COVER / self._settings.balancers))
         self._near = sorted(self._ready, key=lambda s: s.rank)[:keep]
-        self._fleet_at = -math.inf
+        self._fleet_at = min(self._fleet_at, now - FLEET_STEP_MS)  # count anew
         newest = max((s.member.up_since_ms for s in self._ready), default=0.0)
         self._cold_until = newest + self._settings.cold_ms
 
@@ -206,6 +213,7 @@
             self._hint += (event.hint_ms - self._hint) / OFFER_CALLS if self._hint else event.hint_ms
             request.size = event.hint_ms / self._hint
         self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
+        self._count_arrival(now)
         if self._settings.calling_tier == 0 and not self._admitted(
             request, event.tenant, event.remaining_ms, now
         ):
@@ -238,20 +246,41 @@
         out = sum(s.in_flight for s in self._able)  # calls elsewhere crowd none of those that are left
         self._mean_out += (out - self._mean_out) * (1 - math.exp((self._out_seen - now) / CROWD_MS))
         self._out_seen = now
-        others = self._mean_out * (self._settings.balancers - 1)
-        own = most / self._settings.balancers
+        others = self._mean_out * (self._peers - 1)
+        own = most / self._peers
         return out + others >= most or out >= max(own + math.sqrt(own), CROWD_LEAST)
 
     def _able_fleet(self, now: float) -> float:
         """The size of the servers that can take calls: cold ones by their warmth, lost ones not at all."""
         if now - self._fleet_at >= FLEET_STEP_MS:
-            self._fleet_at = now
             for server in self._ready:
                 server.catch_up(now)
             self._able = [s for s in self._ready if s.away <= 1] or self._ready
-            self._fleet = sum(s.size * self._warmth(s, now) for s in self._able if not s.is_lost()) or 1.0
+            there = [s for s in self._able if not s.is_lost()]
+            self._fleet = sum(s.size * self._warmth(s, now) for s in there) or 1.0
+            self._count_peers(sum(s.size for s in there), now)
+            self._fleet_at = now
         return self._fleet
 
+    def _count_peers(self, there: float, now: float) -> None:
+        """Judge how many balancers are left, which nobody tells: as many as servers, if requests say so too.
+
+        Guards against keeping to our part where a zone went with its balancers, whose requests come to us.
+        More requests alone may be a burst, and fewer servers alone take no balancer with them.
+        """
+        missed = self._fleet_usual * math.exp((self._fleet_at - now) / USUAL_MS)
+        self._fleet_usual = max(there, missed)
+        left = max(there / (self._fleet_usual or 1.0), self._pause / (self._usual_pause or 1.0))
+        self._peers = max(self._settings.balancers * min(left, 1.0), 1.0)
+
+    def _count_arrival(self, now: float) -> None:
+        """Learn how often requests come."""
+        if self._arrivals:
+            pause = now - self._arrived_at
+            self._pause += (pause - self._pause) / min(self._arrivals, LATE_CALLS)
+            self._usual_pause += (pause - self._usual_pause) / min(self._arrivals, USUAL_CALLS)
+        self._arrivals, self._arrived_at = self._arrivals + 1, now
+
     def _shed(self, request: _Request, reason: str, now: float) -> None:
         """Give up a request that was never sent; one line in the log for a whole spell."""
         if now > self._shedding_until:
@@ -366,6 +395,7 @@
         rate = self._quota.get(tenant or "")
         if rate is None or tenant is None:
             return False
+        rate /= self._peers
         level, seen = self._share.get(tenant, QUOTA_BURST_MS * rate), self._share_seen.get(tenant, now)
         self._share[tenant] = min(QUOTA_BURST_MS * rate, level + (now - seen) * rate)
         self._share_seen[tenant] = now
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -516,6 +516,35 @@
     assert left + len(flood(desk)) == pytest.approx(24, abs=1), "eight for each server that is left"
 
 
+def steadily(desk: Desk, pause: float, seconds: int) -> None:
+    for _ in range(int(seconds * 1_000 / pause)):
+        desk.serve(takes=5.0)
+        desk.now += pause - 5.0
+
+
+@pytest.mark.parametrize(
+    ("left", "pause", "takes_over"), [(5, 10.0, True), (10, 10.0, False), (5, 40.0, False), (10, 40.0, False)]
+)
+def test_a_lost_zone_whose_requests_come_to_us_took_its_balancers_with_it(
+    left: int, pause: float, takes_over: bool
+) -> None:
+    """Three of seven balancers kept to three sevenths of what the servers left could take."""
+    desk = Desk(10, balancers=4)
+    steadily(desk, 40.0, 10)
+    desk.show(*members(10)[:left])
+    steadily(desk, pause, 3)
+    part = len(flood(desk)) / left
+    assert (part > 4) if takes_over else (part < 3), "of eight calls for each server"
+
+
+def test_who_takes_over_for_others_takes_over_their_part_of_the_shares() -> None:
+    desk = Desk(10, balancers=4, tenants=(Tenant("small", 30.0),), over_share_worth=0.0)
+    steadily(desk, 40.0, 10)
+    desk.show(*members(10)[:5])
+    steadily(desk, 10.0, 3)
+    assert len(flood(desk, tenant="small")) > 20, "a fourth of its share would have held it to 15"
+
+
 def test_the_bound_stands_where_all_servers_lose_their_calls() -> None:
     """With none of them counted as able there was nothing to count the calls at: all were let in."""
     desk = Desk(4)
