--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -32,10 +32,7 @@
 CROWD_EASE, CROWD_FULL = 4.0, 8.0  # calls out for each unit of size that shed the least and the dearest work
 CROWD_LEAST = 8  # so many calls of ours are no burst: one balancer of hundreds has them by chance
 CROWD_MS = 1_000.0  # our calls are averaged over this: longer than a call, shorter than servers bear a crowd
-LATE_CALLS, USUAL_CALLS = (
-    30,
-    1_000,
-)  # requests that tell how often they come now, and how often they usually do
+LATE_CALLS, USUAL_CALLS = 30, 1_000  # requests that tell how often they come now, and usually
 USUAL_MS = 20_000.0  # a lost server is missed for this
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
