Begin the count of calls done with a number: at Unix times it was none and bounded nothing

First guess, that usual times are learned from a crowd that others made, was wrong: no change.

At fault: `_done` began as infinity and faded from moment 0, so at Unix times inf * exp(-1.8e9) = nan, and min(nan, most) stays nan. Every comparison with it is false. The tests' clock stands at 1,000 ms, where the product is infinity; the test now runs at Unix time, and fails without the change.

Usual times are also no longer learned while we shed: then there is a crowd, however little of it is ours.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -143,7 +143,7 @@
         self._arrivals, self._arrived_at, self._pause, self._usual_pause = 0, 0.0, 0.0, 0.0
         self._peers = float(settings.balancers)  # balancers held to be at work, with us
         self._mean_out, self._out_seen = 0.0, 0.0
-        self._done, self._done_at = math.inf, 0.0  # calls out, were those served of late as quick as usual
+        self._done, self._done_at = 0.0, -math.inf  # calls out, were those served of late as quick as usual
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
         self._quota = {t.name: t.quota_per_s / 1000 for t in settings.tenants}
@@ -267,7 +267,8 @@
         many times longer than usual they take. At first as many are taken as done as the bound lets in.
         """
         most = CROWD_FULL * self._able_fleet(now) / self._peers
-        self._done = min(self._done * math.exp((self._done_at - now) / CROWD_MS), most)
+        first = self._done_at == -math.inf
+        self._done = most if first else min(self._done * math.exp((self._done_at - now) / CROWD_MS), most)
         self._done_at = now
         return self._done
 
@@ -329,7 +330,9 @@
         server.in_flight += 1
         self._out += 1
         request.attempts.append(_Attempt(server, idle, now, timeout))
-        request.attempts[-1].light = self._out <= max(self._fleet / self._peers, 1.0)
+        # Shedding, we know of a crowd: however little of it is ours, calls take longer than usual.
+        light = self._out <= max(self._fleet / self._peers, 1.0) and now > self._shedding_until
+        request.attempts[-1].light = light
         if now < self._cold_until and self._warmth(server, now) < 1:
             server.sends.append(now)
         self._actions.append(face.Send(request.id, server.member.server, timeout))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -828,6 +828,7 @@
 def test_a_crowd_behind_the_servers_shows_in_how_long_their_calls_take(takes: float, all_in: bool) -> None:
     """The bound goes by the servers that we call; those behind them tipped before it was reached."""
     desk = Desk(60, balancers=6)
+    desk.now = 1_700_000_000_000.0  # Unix time, as in service: the first figure must not come to be none
     load(desk, 150.0, (READ, None), rounds=300)
     let_in = load(desk, takes, (READ, None), rounds=600)["read"]
     assert (let_in == 600) is all_in, "75 of 80 calls out, at seven times their usual time"
