Keep evidence on servers for up to 20 s where a balancer calls each seldom

By server, 1 to 10 s: the median answer of one server took 263 ms, of others 1,510 and 1,870; each got 28 to 48 calls all the same. An inner balancer makes 2 to 3 calls a second to 24 servers: one in 10 s to each, and `catch_up` let evidence fade in 6 s, so the prior of two median calls always outweighed it.

`served` and `busy` now fade over the time that holds four calls a server, 6 to 20 s. What decides whether a server is set aside still fades in 6 s: a zone that was cut off must come back.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -18,6 +18,7 @@
 
 DRAWS = 4  # the most for d of the design, while each server drawn holds a call of ours
 MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
+MEMORY_MOST_MS, MEMORY_CALLS = 20_000.0, 4.0  # or longer, till it holds so many calls a server
 PRIOR_CALLS = 2.0  # calls' worth of belief in the median, so that one slow answer does not ruin an estimate
 LOSS_TIMES = 2.0  # a call waited for over so many usual times counts as lost in full
 STEP_MS = 20.0  # estimates are brought up to date in steps of this; it only saves work
@@ -50,11 +51,12 @@
 class _Server:
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
-    __slots__ = tuple("away busy in_flight luck member rank ready seen sends served size used".split())
+    __slots__ = tuple("away busy in_flight luck member memory rank ready seen sends served size used".split())
 
     def __init__(self, member: face.Member, now: float, rank: float) -> None:
         self.member, self.rank = member, rank
         self.ready, self.size, self.used = False, 1.0, math.inf
+        self.memory = MEMORY_MS
         self.in_flight = 0  # m of the design
         self.sends: deque[float] = deque()
         self.forget(now)
@@ -67,9 +69,10 @@
 
     def catch_up(self, now: float) -> None:
         """Bring the evidence to `now`: calls in flight add time, and all of it fades."""
-        fade = math.exp((self.seen - now) / MEMORY_MS)
+        fade = math.exp((self.seen - now) / self.memory)
         self.served *= fade
         self.busy = self.busy * fade + self.in_flight * (now - self.seen)
+        fade = math.exp((self.seen - now) / MEMORY_MS)
         self.luck = {cls: (good * fade, bad * fade) for cls, (good, bad) in self.luck.items()}
         self.away *= fade
         self.seen = now
@@ -143,6 +146,7 @@
         self._arrivals, self._arrived_at, self._pause, self._usual_pause = 0, 0.0, 0.0, 0.0
         self._peers = float(settings.balancers)  # balancers held to be at work, with us
         self._mean_out, self._out_seen = 0.0, 0.0
+        self._memory = MEMORY_MS  # evidence on capacity fades by 1/e over this
         self._done, self._done_at = 0.0, -math.inf  # calls out, were those served of late as quick as usual
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
@@ -518,7 +522,12 @@
             known = sorted(s.served / (s.busy * s.size) for s in self._ready if s.served > 0.5 and s.busy > 0)
             self._median = known[len(known) // 2] if known else self._median
             if warm := [s.served for s in self._near if self._warmth(s, now) >= 1]:
-                self._usual_rate = sum(warm) / len(warm) / MEMORY_MS
+                self._usual_rate = sum(warm) / len(warm) / self._memory
+            # Guards against evidence that fades between two calls: of hundreds, one balancer makes few.
+            wanted = MEMORY_CALLS * self._pause * len(self._near)
+            self._memory = min(max(MEMORY_MS, wanted), MEMORY_MOST_MS)
+            for server in self._ready:
+                server.memory = self._memory
         return self._median or 1.0
 
     def _book(self, attempt: _Attempt, outcome: Outcome, request: _Request, now: float) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -841,3 +841,14 @@
     for _ in range(20):
         desk.serve(takes=900.0)
     assert load(desk, 900.0, (READ, None), rounds=600)["read"] > 540, "but for the first second"
+
+
+def test_what_a_server_called_once_in_seconds_showed_is_kept_until_it_is_called_again() -> None:
+    """Evidence that faded in 6 s had one balancer of hundreds draw slow servers as often as quick ones."""
+    desk = Desk(12)
+    slow = "s3"
+    got: Counter[str] = Counter()
+    for _ in range(150):
+        desk.now += 1_500.0
+        got[desk.serve(takes={f"s{i}": 1_500.0 if f"s{i}" == slow else 100.0 for i in range(12)})] += 1
+    assert 0 < got[slow] <= 6, "a twelfth are 12 of 150"
