Take a quarter of the bound as done at the start: fronts started together tipped the inner tier

At fault: `_done_rate` began with the whole bound, 8 calls a server, as calls done, so 33 front balancers that start together let in whatever came until the first answers told, and servers that have tipped stay slow for seconds. It begins with a quarter now.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -34,6 +34,7 @@
 CROWD_LEAST = 8  # so many calls of ours are no burst: one balancer of hundreds has them by chance
 STRETCH_EASE, STRETCH_FULL = 1.0, 1.8  # how many usual times calls may take: least and dearest work
 STRETCH_LEAST = 0.5  # a server's usual calls that are taken as served without evidence, over all balancers
+DONE_FIRST = 0.25  # of the bound, two calls a server, are taken as served before the first is
 USUAL_PART = 0.2  # of its aim, for a call at servers that are not crowded, until we know better
 CROWD_MS = 1_000.0  # our calls are averaged over this: longer than a call, shorter than servers bear a crowd
 LATE_CALLS, USUAL_CALLS = 30, 1_000  # requests that tell how often they come now, and usually
@@ -268,11 +269,14 @@
         """The calls that would be out if those served of late had taken no longer than usual.
 
         Guards against a crowd behind the servers, whatever they hold themselves: calls out over this tell how
-        many times longer than usual they take. At first as many are taken as done as the bound lets in.
+        many times longer than usual they take. A balancer knows nothing at its start, and hundreds start at
+        once: were all that the bound lets in taken as done, servers would tip before the first answers tell.
         """
         most = CROWD_FULL * self._able_fleet(now) / self._peers
         first = self._done_at == -math.inf
-        self._done = most if first else min(self._done * math.exp((self._done_at - now) / CROWD_MS), most)
+        self._done = (
+            DONE_FIRST * most if first else min(self._done * math.exp((self._done_at - now) / CROWD_MS), most)
+        )
         self._done_at = now
         return self._done
 
