--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -18,6 +18,7 @@
 
 DRAWS = 4  # the most for d of the design, while each server drawn holds a call of ours
 MEMORY_MS = 6_000.0  # evidence fades by 1/e over this; long enough for a few calls, short enough to recover
+MEMORY_MOST_MS, MEMORY_CALLS = 20_000.0, 4.0  # or longer, till it holds so many calls a server
 PRIOR_CALLS = 2.0  # calls' worth of belief in the median, so that one slow answer does not ruin an estimate
 LOSS_TIMES = 2.0  # a call waited for over so many usual times counts as lost in full
 STEP_MS = 20.0  # estimates are brought up to date in steps of this; it only saves work
@@ -33,6 +34,7 @@
 CROWD_LEAST = 8  # so many calls of ours are no burst: one balancer of hundreds has them by chance
 STRETCH_EASE, STRETCH_FULL = 1.0, 1.8  # how many usual times calls may take: least and dearest work
 STRETCH_LEAST = 0.5  # a server's usual calls that are taken as served without evidence, over all balancers
+DONE_FIRST = 0.25  # of the bound, two calls a server, are taken as served before the first is
 USUAL_PART = 0.2  # of its aim, for a call at servers that are not crowded, until we know better
 CROWD_MS = 1_000.0  # our calls are averaged over this: longer than a call, shorter than servers bear a crowd
 LATE_CALLS, USUAL_CALLS = 30, 1_000  # requests that tell how often they come now, and usually
@@ -50,11 +52,12 @@
 class _Server:
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
-    __slots__ = tuple("away busy in_flight luck member rank ready seen sends served size used".split())
+    __slots__ = tuple("away busy in_flight luck member memory rank ready seen sends served size used".split())
 
     def __init__(self, member: face.Member, now: float, rank: float) -> None:
         self.member, self.rank = member, rank
         self.ready, self.size, self.used = False, 1.0, math.inf
+        self.memory = MEMORY_MS
         self.in_flight = 0  # m of the design
         self.sends: deque[float] = deque()
         self.forget(now)
@@ -67,9 +70,10 @@
 
     def catch_up(self, now: float) -> None:
         """Bring the evidence to `now`: calls in flight add time, and all of it fades."""
-        fade = math.exp((self.seen - now) / MEMORY_MS)
+        fade = math.exp((self.seen - now) / self.memory)
         self.served *= fade
         self.busy = self.busy * fade + self.in_flight * (now - self.seen)
+        fade = math.exp((self.seen - now) / MEMORY_MS)
         self.luck = {cls: (good * fade, bad * fade) for cls, (good, bad) in self.luck.items()}
         self.away *= fade
         self.seen = now
@@ -143,6 +147,7 @@
         self._arrivals, self._arrived_at, self._pause, self._usual_pause = 0, 0.0, 0.0, 0.0
         self._peers = float(settings.balancers)  # balancers held to be at work, with us
         self._mean_out, self._out_seen = 0.0, 0.0
+        self._memory = MEMORY_MS  # evidence on capacity fades by 1/e over this
         self._done, self._done_at = 0.0, -math.inf  # calls out, were those served of late as quick as usual
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
@@ -264,11 +269,14 @@
         """The calls that would be out if those served of late had taken no longer than usual.
 
         Guards against a crowd behind the servers, whatever they hold themselves: calls out over this tell how
-        many times longer than usual they take. At first as many are taken as done as the bound lets in.
+        many times longer than usual they take. A balancer knows nothing at its start, and hundreds start at
+        once: were all that the bound lets in taken as done, servers would tip before the first answers tell.
         """
         most = CROWD_FULL * self._able_fleet(now) / self._peers
         first = self._done_at == -math.inf
-        self._done = most if first else min(self._done * math.exp((self._done_at - now) / CROWD_MS), most)
+        self._done = (
+            DONE_FIRST * most if first else min(self._done * math.exp((self._done_at - now) / CROWD_MS), most)
+        )
         self._done_at = now
         return self._done
 
@@ -518,7 +526,12 @@
             known = sorted(s.served / (s.busy * s.size) for s in self._ready if s.served > 0.5 and s.busy > 0)
             self._median = known[len(known) // 2] if known else self._median
             if warm := [s.served for s in self._near if self._warmth(s, now) >= 1]:
-                self._usual_rate = sum(warm) / len(warm) / MEMORY_MS
+                self._usual_rate = sum(warm) / len(warm) / self._memory
+            # Guards against evidence that fades between two calls: of hundreds, one balancer makes few.
+            wanted = MEMORY_CALLS * self._pause * len(self._near)
+            self._memory = min(max(MEMORY_MS, wanted), MEMORY_MOST_MS)
+            for server in self._ready:
+                server.memory = self._memory
         return self._median or 1.0
 
     def _book(self, attempt: _Attempt, outcome: Outcome, request: _Request, now: float) -> None:
