Judge a try as late by the longest that clients give a try, not by the whole deadline

Clients there wait for half to six tenths of the deadline at a time (2,400 of 4,000 ms): 4,000 - 2,400 is more than the aim of 1,500, and each first try counted as late.

Cause: `_admitted` took what is missing from the deadline for time that has passed. What is missing counts now only where the try got less than the longest of late.

With that mended, first tries rank above those that come too late.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -39,6 +39,7 @@
 USUAL_PART = 0.2  # of its aim, for a call at servers that are not crowded, until we know better
 CROWD_MS = 1_000.0  # our calls are averaged over this: longer than a call, shorter than servers bear a crowd
 LATE_CALLS, USUAL_CALLS = 30, 1_000  # requests that tell how often they come now, and usually
+TRY_PART = 0.9  # of the longest time that clients give a try; less tells a further one
 USUAL_MS = 20_000.0  # a lost server is missed for this
 SUBSET_MIN = 12  # servers that a balancer keeps to at the least: losing a few must leave a choice
 SUBSET_COVER = 30  # balancers that keep to each server: their chance parts then even out to a fifth
@@ -152,6 +153,7 @@
         self._done, self._done_at = 0.0, -math.inf  # calls out, were those served of late as quick as usual
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
+        self._longest = {c.name: 0.0 for c in settings.classes}  # that a client gave a try of late
         self._quota = {t.name: t.quota_per_s / 1000 for t in settings.tenants}
         self._share: dict[str, float] = {}  # requests that a tenant may still send inside its share
         self._share_seen: dict[str, float] = {}
@@ -237,14 +239,24 @@
         over = self._over_share(tenant, now)
         part = (request.cls.worth / self._dearest) ** CLASS_ROOT
         part *= self._settings.over_share_worth if over else 1.0
-        if request.cls.deadline_ms - remaining > request.cls.aim_ms:
-            part *= request.cls.late_share  # a client's further try, past its aim before it came
+        if self._came_late(request.cls, remaining):
+            part *= request.cls.late_share
         if self._crowded(part, now):
             return False
         if tenant in self._share and not over:
             self._share[tenant] -= 1  # what is shed uses up nothing: its client may ask again
         return True
 
+    def _came_late(self, cls: face.RequestClass, remaining: float) -> bool:
+        """Whether it is a client's further try, past its aim before it came.
+
+        Guards against clients that give each try a part of the deadline only: what is missing from it has
+        not passed. A further try gets less than a first one only where little is left of the deadline.
+        """
+        longest = max(remaining, self._longest[cls.name] * (1 - 1 / USUAL_CALLS))
+        self._longest[cls.name] = longest
+        return remaining < TRY_PART * longest and cls.deadline_ms - remaining > cls.aim_ms
+
     def _crowded(self, part: float, now: float) -> bool:
         """Whether too many calls are out for work of this part of the dearest's worth.
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -619,6 +619,16 @@
     assert sent(desk.ask(remaining=2_100)[1])
 
 
+def test_a_first_try_that_is_given_a_part_of_the_deadline_is_no_late_one() -> None:
+    """Clients that wait for six tenths of the deadline at a time had each first try ranked as a late one."""
+    let_in = {}
+    for remaining in (1_800.0, 3_000.0):
+        desk, let_in[remaining] = Desk(4), 0
+        while sent(desk.ask(remaining=remaining)[1]):
+            let_in[remaining] += 1
+    assert let_in[1_800.0] == let_in[3_000.0]
+
+
 def test_one_of_many_balancers_keeps_to_a_stable_part_of_the_servers() -> None:
     """Calls spread over all servers are too few at each to learn it or to use a connection twice."""
     parts = []
