Send nothing on for a client that has left or has its answer, also while connecting

It was not seen where cancelling is allowed: the module's Cancel ended the connecting attempt.

At fault: `Attempt._connect` began whatever had come up, unless cancelled. To take back what has not left is no cancelling: the driver now drops it once the request is over. By the same way a request could be sent on for a client whose leaving the loop had not read: reading paused behind 16 others, an answer not read, or both in one turn. So each send, and each connection that comes up for one, looks at the client's socket first (`has_left`).

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -6,6 +6,7 @@
 import errno
 import math
 import re
+import select
 import socket
 import struct
 import time
@@ -124,6 +125,10 @@
             self.open = False
             self._connection.answer(self, status, headers or [], body)
 
+    def has_left(self) -> bool:
+        """Whether its client has gone, as far as the kernel knows."""
+        return self._connection.has_left()
+
     def check(self, classes: dict[str, RequestClass]) -> tuple[int, str] | None:
         """Read what the balancer must know; a status and reason if the request is not acceptable.
 
@@ -339,18 +344,25 @@
         self._held = held
 
     def eof_received(self) -> None:
-        """A caller that ends its sending has gone; the transport closes by itself."""
+        """A caller that ends its sending has gone; the transport closes once our last answer is read."""
+        self._leave()
+        if self._transport is not None and self._linger is None:
+            self._linger = self._callers.loop.call_later(STUCK_S, self._transport.abort)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """The caller has gone: nobody waits for what is still out."""
-        self._lost = self._deaf = True
+        """The connection is over."""
+        self._leave()
         if self._linger is not None:
             self._linger.cancel()
+        self._callers.closed(self)
+
+    def _leave(self) -> None:
+        """The caller has gone: nobody waits for what is still out."""
+        self._lost = self._deaf = True
         self._waiting.clear()
         taken, self._current, self._coming = self._current, None, None
         self._parser, self._unread, self._raw, self._chunks = None, b"", 0, []
         self._count()
-        self._callers.closed(self)
         if taken is not None:
             taken.open = False
             self._callers.desk.left(taken)
@@ -371,6 +383,19 @@
             return False
         return self._deaf or not peek(self._transport)
 
+    def has_left(self) -> bool:
+        """Look at the socket itself: its end shows late while the loop is busy or reading is paused."""
+        if self._transport is None or self._lost or self._transport.is_closing():
+            return True
+        seen = peek(self._transport)
+        if seen:  # the end may be behind what is not read yet
+            poll = select.poll()
+            poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+            seen = b"" if poll.poll(0) else seen
+        if seen == b"":
+            self._transport.abort()
+        return seen == b""
+
     def is_half(self) -> bool:
         """Whether a request is awaited, or has begun to come, and none is open."""
         return (self._reading or not self.asked) and self._current is None and not self._waiting
@@ -383,6 +408,8 @@
         """
         if self._transport is None or self._deaf or self._lost:
             return False
+        if self._blocked and self.has_left():
+            return False  # with reading paused nothing else would tell
         if self.is_half():
             if now - self.started < half_s or peek(self._transport):
                 return False
@@ -401,7 +428,7 @@
         return False
 
     def _advance(self) -> None:
-        if self._advancing or self._transport is None:
+        if self._advancing or self._transport is None or self._lost:
             return
         self._advancing = True
         try:
--- a/basaltspindle/net/driver.py
+++ b/basaltspindle/net/driver.py
@@ -210,6 +210,19 @@
         if request is not None and request.open:
             self._close(request)
             self._tell(face.ClientLeft(request.id), request)
+            self._drop_rest(request)
+
+    def _is_wanted(self, request: _Request) -> bool:
+        """Whether its client still waits, by a look at the socket: the loop may not have come to it yet."""
+        if request.open and request.taken.has_left():
+            self.left(request.taken)
+        return request.open
+
+    def _drop_rest(self, request: _Request) -> None:
+        """Take back what has not left yet, also where what is out must not be cancelled."""
+        for attempt in request.attempts:
+            if attempt is not None:
+                attempt.drop()
 
     def close(self) -> None:
         """The time after SIGTERM is up: answer what is still open."""
@@ -224,6 +237,7 @@
         self._close(request)
         request.taken.answer(502 if request.ran or request.out else 503)
         self._tell(face.ClientLeft(request.id), request)  # it calls off what is out
+        self._drop_rest(request)
 
     def _close(self, request: _Request) -> None:
         request.open = False
@@ -240,6 +254,8 @@
             self._close(request)
             request.taken.answer(200, end_to_end(answer.headers), answer.body)
         self._tell(face.AttemptEnded(request.id, index, server, outcome, not request.open), request)
+        if not request.open:
+            self._drop_rest(request)
 
     def _news(self, news: ServerList) -> None:
         self._listed(ListKind.FULL if news.whole else ListKind.DELTA, news)
@@ -293,7 +309,7 @@
         request.out += 1
         attempt: Attempt | None = None
         outcome = Outcome.NOT_SENT  # for a send whose request is over
-        if request.open:
+        if self._is_wanted(request):
             left_ms = request.ends - self.clock.now()
             timeout_ms = min(action.timeout_ms, left_ms) if action.timeout_ms else left_ms
             until = time.monotonic() + timeout_ms / 1000
@@ -311,7 +327,9 @@
             def on_end(outcome: Outcome, answer: Answer | None) -> None:
                 self._ended(request, index, server, outcome, answer)
 
-            attempt = self.upstreams.attempt(server, max(timeout_ms, 0.0) / 1000, compose, on_end)
+            attempt = self.upstreams.attempt(
+                server, max(timeout_ms, 0.0) / 1000, compose, on_end, lambda: self._is_wanted(request)
+            )
             outcome = Outcome.CONNECT_FAILED  # for a server that no list names any more
         request.attempts.append(attempt)
         if attempt is None:
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -162,10 +162,12 @@
 class Attempt:
     """One attempt at a server; `on_end` is called exactly once, whatever crosses what."""
 
-    __slots__ = ("_compose", "_connection", "_on_end", "_pool", "_task", "_timer")
+    __slots__ = ("_compose", "_connection", "_on_end", "_pool", "_task", "_timer", "_wanted")
 
-    def __init__(self, pool: Pool, compose: Callable[[], bytes], on_end: Done) -> None:
-        self._pool, self._compose = pool, compose
+    def __init__(
+        self, pool: Pool, compose: Callable[[], bytes], on_end: Done, wanted: Callable[[], bool]
+    ) -> None:
+        self._pool, self._compose, self._wanted = pool, compose, wanted
         self._on_end: Done | None = on_end
         self._connection: Connection | None = None
         self._task: asyncio.Task[None] | None = None
@@ -187,6 +189,11 @@
         """Stop waiting: the connection is closed, which tells the upstream."""
         self._finish(Outcome.CANCELLED)
 
+    def drop(self) -> None:
+        """End it if its last byte has not left: unlike a cancel, that takes back nothing that may run."""
+        if self._connection is None or not self._connection.is_written():
+            self._finish(Outcome.NOT_SENT)
+
     def answered(self, answer: Answer) -> None:
         """The response is whole."""
         self._finish(_meaning(answer), answer)
@@ -213,6 +220,10 @@
             # Guards against a send that begins late: the server was told to drain while we connected.
             connection.close()
             self._finish(Outcome.CONNECT_FAILED)
+        elif not self._wanted():
+            # Guards against a send for nobody: the client left, or got its answer, while we connected.
+            self._pool.keep(connection)
+            self._finish(Outcome.NOT_SENT)
         else:
             self._begin(connection)
 
@@ -430,13 +441,18 @@
             pool.close_idle()
 
     def attempt(
-        self, server: str, timeout_s: float, compose: Callable[[], bytes], on_end: Done
+        self,
+        server: str,
+        timeout_s: float,
+        compose: Callable[[], bytes],
+        on_end: Done,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Attempt | None:
         """Start an attempt, or None for a server that no list names any more."""
         pool = self._pools.get(server)
         if pool is None:
             return None
-        attempt = Attempt(pool, compose, on_end)
+        attempt = Attempt(pool, compose, on_end, wanted)
         attempt.start(timeout_s)
         return attempt
 
