Take up what waits behind an answer once that has left, also below 64 KiB

Found by reading: `_advance` takes no further request while bytes of an answer are with us, and hoped for `resume_writing` to go on. The event loop calls that only after `pause_writing`, past 64 KiB by default: behind a smaller answer that its caller read slowly, a pipelined request lay untouched until the connection was cut after 10 s. The limits are 0 now, as they are towards upstreams.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -282,6 +282,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start."""
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=0, low=0)  # hear of it when the last byte has left
         set_no_delay(transport)
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -171,6 +171,20 @@
     return client
 
 
+def test_what_waits_behind_an_answer_is_taken_up_once_that_is_read() -> None:
+    """Nothing told that the rest of the answer had left: what waited was taken up at the next bytes only."""
+
+    async def scenario() -> None:
+        upstream = Upstream(response(200, b"x" * 60_000), response(200, b"the second"))
+        async with Rig(upstream) as rig:
+            client, got = await unread_answer(rig), b""
+            while not got.endswith(b"the second"):
+                got += await asyncio.get_running_loop().sock_recv(client, 65_536)
+            client.close()
+
+    run(scenario())
+
+
 def test_behind_an_answer_that_it_did_not_read() -> None:
     """Its end was read, but the connection stood until the answer had left: then the next one was sent on."""
 
