--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -261,6 +261,7 @@
             held.let.set()
             await over(rig)
             held.at_last = lambda: None
+            settle(rig)
             assert status(await rig.ask()) == 200
             assert len(upstream.asked) == 1 and upstream.connections == 1, "the connection serves the next"
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -255,6 +255,8 @@
         upstreams = make(await upstream.start())
         assert await Try(upstreams).outcome() is Outcome.SERVED
         assert upstreams._pools["s0"].take() is None  # not in the same moment
+        upstreams._pools["s0"].idle[0].idle_since -= 0.01  # nor some milliseconds later
+        assert upstreams._pools["s0"].take() is None
         upstreams._pools["s0"].idle[0].idle_since -= SETTLE_S
         assert await Try(upstreams).outcome() is Outcome.SERVED
         assert upstream.connections == 1
