End connections in the moment in which they are given up, not in the loop's next turn

Found by reading the event loop: `abort` and `write_eof` only queue the close. So (1) an attempt given up at its time-out was still out on an open connection as the next one was written, in the same turn, where two attempts are not allowed; (2) a request could come between the look at an idle caller's socket (`may_end`) and our end, and was read, dropped and never answered. Both windows are as long as a turn takes. The socket is now shut down at once; the loop's own close follows.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -24,6 +24,7 @@
     SPARE_SOCKETS,
     Headers,
     Malformed,
+    end_sending,
     end_to_end,
     peek,
     set_no_delay,
@@ -492,6 +493,10 @@
             return
         self._deaf = True
         self._transport.write_eof()
+        if self._transport.get_write_buffer_size() == 0:
+            end_sending(
+                self._transport
+            )  # the loop does so in its next turn: a request could come before that
         self._linger = self._callers.loop.call_later(linger_s, self._transport.abort)
 
 
--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -53,6 +53,20 @@
         probe.detach()  # the file descriptor stays the transport's
 
 
+def end_sending(transport: asyncio.BaseTransport) -> None:
+    """Tell the peer now that nothing more comes; for a transport with nothing left in its buffer."""
+    if transport.is_closing():
+        return
+    wrapped = transport.get_extra_info("socket")
+    ended = socket.socket(wrapped.family, wrapped.type, wrapped.proto, wrapped.fileno())
+    try:
+        ended.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass  # it is over already
+    finally:
+        ended.detach()  # the file descriptor stays the transport's
+
+
 class Malformed(Exception):
     """A message that can't be read, or is larger than the protocol allows."""
 
@@ -334,9 +348,13 @@
             self.close()
 
     def close(self) -> None:
-        """Close at once, for the upstream to notice."""
+        """Close at once, for the upstream to notice.
+
+        Guards against two attempts out: the loop closes in its next turn, after a further attempt has begun.
+        """
         self._leave()
         if self._transport is not None:
+            end_sending(self._transport)
             self._transport.abort()
 
     def _leave(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -590,6 +590,24 @@
     run(scenario())
 
 
+def test_an_idle_connection_is_ended_in_the_moment_in_which_it_was_looked_at() -> None:
+    """Our end left with the loop's next turn: a request that came before it was read and dropped."""
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            client = socket.create_connection(rig.driver.callers.address[:2])
+            while not (connections := rig.driver.callers._connections):
+                await asyncio.sleep(0.001)
+            (connection,) = connections
+            while not connection.may_end():
+                await asyncio.sleep(0.001)
+            connection.end_softly()
+            assert client.recv(1, socket.MSG_DONTWAIT) == b""
+            client.close()
+
+    run(scenario())
+
+
 def test_the_watch_survives_any_answer() -> None:
     """An answer that broke the reader in an unforeseen way ended the watch, and nobody asked again."""
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -14,7 +14,7 @@
 from basaltspindle import interface as face
 from basaltspindle.interface import Outcome
 from basaltspindle.net.config import read_config, read_list
-from basaltspindle.net.upstreams import SETTLE_S, Answer, Attempt, Pool, Upstreams
+from basaltspindle.net.upstreams import SETTLE_S, Answer, Attempt, Pool, Upstreams, peek
 from tests.loopback import (
     Asked,
     Rig,
@@ -264,6 +264,27 @@
     run(scenario())
 
 
+def test_an_attempt_given_up_is_over_for_its_server_before_the_next_begins() -> None:
+    """Its connection was closed in the loop's next turn: for that long, two attempts were out."""
+
+    async def scenario() -> None:
+        upstreams = Upstream(silent), Upstream(silent)
+        async with Rig(*upstreams) as rig:
+            handle, ended = rig.driver.balancer.handle, list[bool]()
+
+            def look(event: face.Event, now: float) -> list[face.Action]:
+                if isinstance(event, face.AttemptEnded):
+                    seen = peek(next(u for u in upstreams if u.asked).writers[0].transport)
+                    ended.append(seen == b"")
+                return handle(event, now)
+
+            rig.driver.balancer.handle = look  # type: ignore[method-assign]
+            assert status(await rig.ask("/pay/x", b"debit", deadline="200m")) == 502
+            assert ended == [True]
+
+    run(scenario())
+
+
 def test_interim_answers_are_passed_over() -> None:
     async def scenario() -> None:
         upstream = Upstream(b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" * 3 + response(200, b"final"))
