Open a pushed watch again at once when it breaks, and ask it every 3 s

Now only a second failure in a row waits, 0.1 s. Calls to the agent on the same machine cost nothing.

Where lists are asked for nothing changes.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -15,12 +15,13 @@
 # was cut off: until its wait is over we hear of no server that comes or goes. Each call costs discovery work,
 # though, and much shorter waits of a whole fleet would crowd it.
 WAIT_MS = 10_000  # of one watch call; news ends it at once
+PUSH_WAIT_MS = 3_000  # the same where lists are pushed: what a silent agent has counts as told after 6 s
 LATE_S = 1.0  # past its wait, a watch call has failed: what it has to tell counts as told a second later
 WHOLE_S = 0.5  # from an answer's first byte to its last: one that stops short is not to be waited for
 SPREAD = 0.2  # part by which waits differ, so that balancers that started together do not call together
 ANSWER_S = 3.0  # a call without a wait that is not answered has failed; discovery itself gives up sooner
 CONNECT_S = 1.0  # a machine that is away says nothing: a wait that has not begun must not be waited out
-PUSH_PAUSE_S = 0.5  # before the agent on this machine is called again, where lists are pushed
+PUSH_PAUSE_S = 0.1  # before the agent is called again that failed twice in a row, where lists are pushed
 LIST_MAX = 4 * 1024 * 1024
 
 
@@ -121,6 +122,7 @@
         self.subscribe()
 
     async def _watch(self) -> None:
+        failures = 0
         while True:
             try:
                 news = await self._call()
@@ -132,15 +134,19 @@
                     self._task = None
                     self._on_failed()  # when to ask again is the module's to say
                     return
-                await asyncio.sleep(PUSH_PAUSE_S)
+                # What the agent has counts as told meanwhile: a connection that breaks is no reason to wait.
+                failures += 1
+                await asyncio.sleep(PUSH_PAUSE_S if failures > 1 else 0.0)
                 continue
+            failures = 0
             self._index = news.index
             self._on_news(news)
 
     async def _call(self) -> ServerList:
         path, wait_s = "/v1/servers", 0.0
         if self._index >= 0:
-            wait_s = WAIT_MS / 1000 * (1 - SPREAD * self._random.random())
+            wait_ms = WAIT_MS if self._asked else PUSH_WAIT_MS
+            wait_s = wait_ms / 1000 * (1 - SPREAD * self._random.random())
             path += f"?after={self._index}&wait_ms={wait_s * 1000:.0f}"
         host, port = self._address
         if self._link is None or self._link.closed:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -125,7 +125,7 @@
     return base | {"status": "in_service", "since_ms": 0} | more
 
 
-def config_text(discovery: str, entries: list[dict[str, Any]], **settings: Any) -> str:
+def config_text(agent: str, entries: list[dict[str, Any]], /, **settings: Any) -> str:
     classes = [
         {"name": "read", "target": 2000.0, "deadline": 5000.0, "effect": "retryable", "worth": 2.0},
         {"name": "pay", "target": 2000.0, "deadline": 5000.0, "effect": "fragile", "worth": 1.0},
@@ -150,7 +150,7 @@
         {
             "name": "n1",
             "listen": "127.0.0.1:0",
-            "discovery": discovery,
+            "discovery": agent,
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"index": 7, "snapshot": True, "endpoints": entries},
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -650,6 +650,46 @@
     run(scenario())
 
 
+def test_a_broken_watch_is_opened_again_at_once_where_lists_are_pushed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the agent got in the pause counted as told: half a second of a grace of half a second was gone."""
+
+    async def scenario() -> None:
+        monkeypatch.setattr(discovery, "PUSH_PAUSE_S", 2 * PATIENCE_S)
+        async with Rig(Upstream(), discovery="push") as rig:
+            for index in (8, 9):
+                await rig.discovery.calls.get()
+                rig.discovery.answers.put_nowait(b"no answer\r\n\r\n")
+                await rig.discovery.calls.get()
+                rig.discovery.tell(index)
+            assert "after=9&" in await rig.discovery.calls.get()
+
+    run(scenario())
+
+
+def test_an_agent_that_fell_silent_is_noticed_well_before_its_news_count(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It was waited for as long as a discovery whose calls cost it work."""
+
+    async def scenario() -> None:
+        async with Rig(Upstream(), discovery="push") as rig:
+            line = await rig.discovery.calls.get()
+            wait_ms = float(line.partition("wait_ms=")[2].split(" ")[0])
+            assert wait_ms / 1000 + discovery.LATE_S + discovery.CONNECT_S < 6
+            rig.discovery.tell(8)
+            monkeypatch.setattr(discovery, "LATE_S", 0.1)
+            monkeypatch.setattr(discovery, "PUSH_WAIT_MS", 100)
+            await rig.discovery.calls.get()
+            rig.discovery.tell(9)
+            await rig.discovery.calls.get()  # never answered
+            await rig.discovery.ended.wait()
+            assert "after=9&" in await rig.discovery.calls.get()
+
+    run(scenario())
+
+
 def test_a_list_that_stops_short_is_not_waited_for() -> None:
     """Its rest was waited for as long as a watch may take; servers that drain got calls meanwhile."""
 
