Decide a keyed repeat only where a connect still falls into its window

Found by reading: `_harmless` asked whether the decision falls into the repeat window, less a tick. The settings now carry `limits.connectTimeout` to the module, which keeps so much clear.

--- a/basaltspindle/interface.py
+++ b/basaltspindle/interface.py
@@ -117,6 +117,8 @@
     list_is_asked: bool = False
     ask_within_ms: float = 10_000.0
     max_attempts: int = 3
+    connect_ms: float = 0.0
+    """A send may begin so much later than it was decided, where a connection has to come up first."""
     may_cancel: bool = False
     may_duplicate: bool = False
     may_probe: bool = False
@@ -135,7 +137,7 @@
         _require(len(set(names)) == len(names), "classes", names, "must not name a class twice")
         for field in ("balancers", "max_attempts"):
             _require(getattr(self, field) >= 1, field, getattr(self, field), "must be 1 or more")
-        for field in ("calling_tier", "max_retry_after_ms", "cold_ms"):
+        for field in ("calling_tier", "connect_ms", "max_retry_after_ms", "cold_ms"):
             _require(getattr(self, field) >= 0, field, getattr(self, field), "must not be negative")
         for field in ("ask_within_ms", "cold_window_ms", "cold_overload_factor", "tick_ms"):
             _require(getattr(self, field) > 0, field, getattr(self, field), "must be above 0")
--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -457,7 +457,8 @@
         ran = next((a for a in request.attempts if a.ran), None)
         if ran is None or cls.effect is Effect.SAFE:
             return self._near
-        if cls.effect is Effect.UNSAFE or now >= ran.sent + cls.repeat_window_ms - self._settings.tick_ms:
+        begins = now + self._settings.tick_ms + self._settings.connect_ms  # at the latest
+        if cls.effect is Effect.UNSAFE or begins >= ran.sent + cls.repeat_window_ms:
             return []
         # A server that restarted since may have forgotten what it saw: not asked again.
         able = [s for s in self._ready if s.member.up_since_ms <= ran.sent]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -283,6 +283,18 @@
     assert desk.end(request, 0, sent(actions)[0].server, Outcome.ERROR) == [Fail(request)]
 
 
+@pytest.mark.parametrize(("after", "again"), [(1_600.0, 1), (1_750.0, 0)])
+def test_a_keyed_repeat_is_not_decided_where_its_connection_may_come_up_too_late(
+    after: float, again: int
+) -> None:
+    """A connect of up to 300 ms began inside the window of 2,000 and brought the repeat behind it."""
+    order = replace(ANYWHERE, aim_ms=5_000, deadline_ms=9_000)
+    desk = Desk(6, classes=(order,), connect_ms=300.0)
+    request, actions = desk.ask(order, remaining=9_000)
+    desk.now += after
+    assert len(sent(desk.end(request, 0, sent(actions)[0].server, Outcome.ERROR))) == again
+
+
 def test_a_server_that_restarted_since_is_not_trusted_to_drop_a_repeat() -> None:
     desk = Desk(2, cold_ms=0)
     request, actions = desk.ask(ANYWHERE)
