Take null in limits, name and seed of the configuration for absent

Found by reading: "limits": null or "seed": null ended the program with status 2, though a key that is null says no more than one that is absent, which starts.

--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -117,15 +117,16 @@
     """The configuration from its JSON text; ConfigError says in one line what is wrong with it."""
     try:
         raw = json.loads(text)
+        limits = {name: value for name, value in (raw.get("limits") or {}).items() if value is not None}
         facts: wire.Fields = {}
         flatten(raw["settings"], "", facts)
         return Config(
-            name=str(raw.get("name", "")),
+            name=str(raw.get("name") or ""),
             listen=read_address(raw["listen"]),
             discovery=read_address(raw["discovery"]),
-            seed=int(str(raw.get("seed", "0")), 16),
-            sockets=int(raw.get("limits", {}).get("sockets", 1024)),
-            memory_mb=float(raw.get("limits", {}).get("memory_mb", 192)),
+            seed=int(str(raw.get("seed") or "0"), 16),
+            sockets=int(limits.get("sockets", 1024)),
+            memory_mb=float(limits.get("memory_mb", 192)),
             known=read_list(raw.get("known") or {"index": 0, "snapshot": True, "endpoints": []}),
             settings=wire.read_settings(facts, note),
             connect_timeout_ms=wire.number(facts, "limits.connectTimeout", 250.0),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -549,6 +549,18 @@
     assert (done.returncode, done.stdout) == (0, "alive\n"), done.stderr
 
 
+def test_what_is_null_counts_as_absent() -> None:
+    import json
+
+    from basaltspindle.net.config import read_config
+
+    raw = json.loads(config_text("127.0.0.1:9", []))
+    for limits in (None, {"cores": None, "memory_mb": None, "sockets": None}):
+        text = json.dumps(raw | {"limits": limits, "name": None, "seed": None, "known": None})
+        config = read_config(text, lambda note: None)
+        assert (config.sockets, config.memory_mb, config.name, config.seed) == (1024, 192, "", 0)
+
+
 def test_the_end_does_not_wait_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
     """What is still open when the time is up gets its answer, before the platform kills us."""
 
