Give the longest connect one default in module and network code

Where the settings name no connectTimeout the network code waited 250 ms and the module counted with none: a keyed repeat could be written behind its window.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -494,9 +494,8 @@
         self._deaf = True
         self._transport.write_eof()
         if self._transport.get_write_buffer_size() == 0:
-            end_sending(
-                self._transport
-            )  # the loop does so in its next turn: a request could come before that
+            # The loop does so in its next turn: a request could come before that.
+            end_sending(self._transport)
         self._linger = self._callers.loop.call_later(linger_s, self._transport.abort)
 
 
--- a/basaltspindle/net/config.py
+++ b/basaltspindle/net/config.py
@@ -129,7 +129,7 @@
             memory_mb=float(limits.get("memory_mb", 192)),
             known=read_list(raw.get("known") or {"index": 0, "snapshot": True, "endpoints": []}),
             settings=wire.read_settings(facts, note),
-            connect_timeout_ms=wire.number(facts, "limits.connectTimeout", 250.0),
+            connect_timeout_ms=wire.number(facts, "limits.connectTimeout", wire.CONNECT_MS),
             idle_ms=wire.number(facts, "limits.connIdle", 15_000.0),
             drain_grace_ms=wire.number(facts, "contract.drainGrace", 0.0),
         )
--- a/basaltspindle/wire.py
+++ b/basaltspindle/wire.py
@@ -38,6 +38,7 @@
     TimerDue,
 )
 
+CONNECT_MS = 250.0  # the longest wait for a connection, where the settings give none
 Fields = dict[str, str]
 T = TypeVar("T")
 
@@ -222,7 +223,7 @@
         list_is_asked=facts.get("discovery") == "ask",
         ask_within_ms=number(facts, "contract.askWithin", 10_000.0),
         max_attempts=int(number(facts, "limits.attemptsCap", 1.0)),
-        connect_ms=number(facts, "limits.connectTimeout", 0.0),
+        connect_ms=number(facts, "limits.connectTimeout", CONNECT_MS),
         may_cancel=_flag(facts, "limits.mayCancel"),
         may_duplicate=_flag(facts, "limits.mayDuplicate"),
         may_probe=_flag(facts, "limits.probes"),
