Begin a testbed: experiments as files, results with fitted slopes, a command line

Cause: nothing here could measure the program at the sizes it is meant to reach; figures came from scripts of one run. Change: testbed/ reads an experiment's TOML file against a typed plan, writes results with machine, versions and seed as JSON, fits lines with their standard errors and withholds figures that a run doubts.

--- /dev/null
+++ b/testbed/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m testbed`."""
+
+from testbed.cli import app
+
+app(prog_name="testbed")
--- /dev/null
+++ b/testbed/cli.py
@@ -0,0 +1,93 @@
+"""The command line: lists, plays and shows experiments."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import structlog
+import typer
+
+from testbed import results
+from testbed.experiment import FOLDER, ExperimentError, read_plan
+from testbed.runs import RUNS
+
+app = typer.Typer(
+    help="Experiments on basaltspindle at the sizes it is meant for.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+
+
+def _configure_logs() -> None:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+def _fail(text: str) -> typer.Exit:
+    print(f"testbed: {text}", file=sys.stderr)
+    return typer.Exit(2)
+
+
+def _path(name: str) -> Path:
+    """A file, or the name of an experiment that comes with the package."""
+    path = Path(name)
+    return path if path.suffix == ".toml" else FOLDER / f"{name}.toml"
+
+
+@app.command("list")
+def list_experiments() -> None:
+    """The experiments that come with the package, a line each."""
+    for path in sorted(FOLDER.glob("*.toml")):
+        try:
+            print(f"{path.stem:24} {read_plan(path, RUNS).about}")
+        except ExperimentError as error:
+            raise _fail(str(error)) from None
+
+
+@app.command()
+def run(
+    names: Annotated[list[str], typer.Argument(help="Experiments by name, or TOML files.")],
+    out: Annotated[Path, typer.Option(help="The folder for results.")] = Path("docs/capacity"),
+) -> None:
+    """Play experiments one after another and write a JSON result for each.
+
+    The exit status is 3 where a run gives no figures, since its load was late or the cores were full.
+    """
+    _configure_logs()
+    log = structlog.get_logger()
+    try:
+        plans = [(_path(name), read_plan(_path(name), RUNS)) for name in names]
+    except ExperimentError as error:
+        raise _fail(str(error)) from None
+    doubted = False
+    for path, plan in plans:
+        log.info("begins", experiment=path.stem, run=plan.run, seed=plan.seed)
+        findings = RUNS[plan.run].play(plan, log)
+        results.write(out / f"{path.stem}.json", path.stem, plan.model_dump(mode="json"), findings)
+        log.info("ended", experiment=path.stem, rows=len(findings.rows), doubts=findings.doubts)
+        doubted = doubted or bool(findings.doubts)
+    if doubted:
+        raise typer.Exit(3)
+
+
+@app.command()
+def show(
+    paths: Annotated[list[Path], typer.Argument(help="Result files.")],
+) -> None:
+    """Print results as tables, with the fitted slopes."""
+    for path in paths:
+        try:
+            result = json.loads(path.read_text(encoding="utf-8"))
+            print(results.table(result) + "\n")
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            raise _fail(f"{path}: no result: {' '.join(str(error).split())}") from None
--- /dev/null
+++ b/testbed/experiment.py
@@ -0,0 +1,60 @@
+"""Experiments as files: one TOML file each, checked before anything starts."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from structlog.typing import FilteringBoundLogger
+
+from testbed.results import Findings
+
+FOLDER = Path(__file__).parent / "experiments"
+
+
+class ExperimentError(ValueError):
+    """An experiment's file can't be used; the text is one plain line."""
+
+
+class Plan(BaseModel):
+    """What every experiment says; each run adds fields of its own by a subclass."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    run: str
+    """Which run plays it: a name in `testbed.runs.RUNS`."""
+    about: str
+    """The question, in one sentence."""
+    seed: Annotated[int, Field(ge=0)]
+    """All random numbers come from it."""
+    sizes: Annotated[tuple[int, ...], Field(min_length=1)]
+    """The sizes that are compared, ascending; what they count, the run says. Slopes want four or more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A kind of experiment: the form of its file, and what plays it."""
+
+    plan: type[Plan]
+    play: Callable[[Any, FilteringBoundLogger], Findings]
+
+
+def read_plan(path: Path, runs: dict[str, Run]) -> Plan:
+    """The plan in a file; ExperimentError says in one line what is wrong with it."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise ExperimentError(f"{path.name}: {' '.join(str(error).split())}") from None
+    run = runs.get(str(raw.get("run")))
+    if run is None:
+        raise ExperimentError(f"{path.name}: run is {raw.get('run')!r}: it must be one of {', '.join(runs)}")
+    try:
+        return run.plan.model_validate(raw)
+    except ValidationError as error:
+        first = error.errors()[0]
+        where = ".".join(map(str, first["loc"]))
+        raise ExperimentError(f"{path.name}: {where}: {first['msg']}") from None
--- /dev/null
+++ b/tests/test_testbed.py
@@ -0,0 +1,72 @@
+"""The testbed's files, fits and command line."""
+
+import json
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from testbed.cli import app
+from testbed.experiment import FOLDER, ExperimentError, Plan, Run, read_plan
+from testbed.results import Findings, fit_line, table, write
+from testbed.runs import RUNS
+
+GOOD = 'run = "none"\nabout = "Nothing."\nseed = 1\nsizes = [1, 2]\n'
+NONE = {"none": Run(Plan, lambda plan, log: Findings())}
+
+
+def test_a_fit_gives_the_slope_and_its_error() -> None:
+    exact = fit_line([{"n": n, "ms": 3.0 * n + 2.0} for n in (1, 2, 4, 8)], "ms", "n")
+    assert (exact.slope, exact.intercept) == pytest.approx((3.0, 2.0))
+    assert exact.slope_error == pytest.approx(0.0, abs=1e-9)
+    # By hand: residuals -0.5, 1, -0.5 of one degree of freedom, over a spread of 2.
+    noisy = fit_line([{"n": n, "ms": ms} for n, ms in ((0, 0.0), (1, 2.0), (2, 1.0))], "ms", "n")
+    assert (noisy.slope, noisy.intercept) == pytest.approx((0.5, 0.5))
+    assert noisy.slope_error == pytest.approx((1.5 / 2) ** 0.5)
+    with pytest.raises(ValueError, match="two sizes"):
+        fit_line([{"n": 1, "ms": 1.0}], "ms", "n")
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        (GOOD.replace("none", "other"), "run is 'other'"),
+        (GOOD.replace("seed = 1", ""), "seed: Field required"),
+        (GOOD.replace("[1, 2]", "[]"), "sizes"),
+        (GOOD + "colour = 1\n", "colour"),
+        ("run = ", "Invalid value"),
+    ],
+)
+def test_a_bad_experiment_gets_one_plain_line(tmp_path: Path, text: str, says: str) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(text)
+    with pytest.raises(ExperimentError, match=r"bad\.toml") as caught:
+        read_plan(path, NONE)
+    assert says in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_a_run_that_doubts_itself_gives_no_figures(tmp_path: Path) -> None:
+    findings = Findings([{"n": 1, "ms": 2.0}, {"n": 2, "ms": 4.0}])
+    findings.fits.append(fit_line(findings.rows, "ms", "n"))
+    write(tmp_path / "good.json", "good", {"about": "A line."}, findings)
+    good = json.loads((tmp_path / "good.json").read_text())
+    assert good["valid"] and good["rows"] == findings.rows and good["fits"][0]["slope"] == pytest.approx(2.0)
+    assert {"program", "python", "numpy"} <= good["versions"].keys() and good["machine"]["cores"] > 0
+    assert "2 (+- 0) x n" in table(good)
+    findings.doubts.append("the load was late")
+    write(tmp_path / "late.json", "late", {"about": "A line."}, findings)
+    late = json.loads((tmp_path / "late.json").read_text())
+    assert not late["valid"] and late["rows"] == [] and late["fits"] == []
+    assert "no figures: the load was late" in table(late)
+
+
+def test_every_experiment_that_comes_along_can_be_read() -> None:
+    plans = [read_plan(path, RUNS) for path in FOLDER.glob("*.toml")]
+    assert {plan.run for plan in plans} == RUNS.keys()
+
+
+def test_the_command_line_says_what_is_wrong_in_one_line(tmp_path: Path) -> None:
+    missing = CliRunner().invoke(app, ["run", str(tmp_path / "no.toml")])
+    assert missing.exit_code == 2 and missing.output.startswith("testbed: no.toml: ")
+    broken = CliRunner().invoke(app, ["show", str(tmp_path / "no.json")])
+    assert broken.exit_code == 2 and broken.output.count("\n") == 1
