Pay further attempts by answers, so that they add up over a path and don't multiply

Cause: each request that arrived earned a fifth of a further attempt, whatever came of it (RETRY_BUDGET in _arrived), and a further attempt is an arrival one tier below: every tier could add a fifth to what the tier above had added. What surely never ran was free: with a whole service gone each request made all its attempts. Change: two token buckets that only answers fill: 0.2 for each answer where an attempt may have run (second copies too), 2 for each where none ran, at most 10 and 20 saved up. A new balancer brings 2 retries, so that a fleet that restarts in an outage does not feed it. An answer is one over all tiers: further attempts come to the depth times 0.2 at the most, and where nothing is served to what the buckets held.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -23,7 +23,10 @@
 LOSS_TIMES = 2.0  # a call waited for over so many usual times counts as lost in full
 STEP_MS = 20.0  # estimates are brought up to date in steps of this; it only saves work
 HEDGE_TIMES, HEDGE_PART = 4.0, 0.5  # a second copy: after so many usual answers, or this part of its time
-RETRY_BUDGET, RETRY_BURST = 0.2, 10.0  # further attempts for each first one, and how many may be saved up
+# Tokens for further attempts where one may have run: for each answer, at the start and at the most.
+RETRY_EARNED, RETRY_FIRST, RETRY_BURST = 0.2, 2.0, 10.0  # a fleet that restarts in an outage must not feed it
+# The same where none ran. Half of the servers may go with a zone: one for each answer, and one for chance.
+RESEND_EARNED, RESEND_FIRST, RESEND_BURST = 2.0, 20.0, 20.0
 QUOTA_BURST_MS = 2_000.0  # a tenant may use this much of its share at once
 COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
 MEDIAN_STEP_MS = 500.0  # the median is taken anew after this; it only saves work
@@ -107,6 +110,34 @@
         self.light = False  # whether the servers held hardly a call each as it went out
 
 
+class _RetryBudget:
+    """A token bucket of further attempts, filled by answers and by nothing else.
+
+    Guards against further attempts that multiply over the tiers: every balancer on a path sees a failure at
+    its end, and if calls that arrive earned them, each tier would add its part to what the tier above added.
+    An answer is one, however many tiers it passes: over `d` tiers further attempts come to `d` times what an
+    answer earns, and where nothing is served to what the buckets held. It harms where most calls fail at
+    random, and many further attempts would have been answered.
+    """
+
+    __slots__ = ("_burst", "_earned", "_tokens")
+
+    def __init__(self, earned: float, first: float, burst: float) -> None:
+        self._earned, self._tokens, self._burst = earned, first, burst
+
+    def earn(self) -> None:
+        """A request got its answer from a server."""
+        self._tokens = min(self._burst, self._tokens + self._earned)
+
+    def allows(self) -> bool:
+        """Whether a further attempt may go out."""
+        return self._tokens >= 1
+
+    def spend(self) -> None:
+        """A further attempt goes out."""
+        self._tokens -= 1
+
+
 class _Request:
     __slots__ = tuple("arrived attempts cls id owed size streaming useful_until".split())
 
@@ -159,7 +190,9 @@
         self._share_seen: dict[str, float] = {}
         self._unsaid: list[face.Action] = [face.Subscribe()] if settings.list_is_asked else []
         self._idles: deque[tuple[float, bool]] = deque(maxlen=IDLE_CALLS)
-        self._retry_budget, self._idle_limit, self._hint = RETRY_BURST, math.inf, 0.0
+        self._idle_limit, self._hint = math.inf, 0.0
+        self._retries = _RetryBudget(RETRY_EARNED, RETRY_FIRST, RETRY_BURST)
+        self._resends = _RetryBudget(RESEND_EARNED, RESEND_FIRST, RESEND_BURST)
         self._actions: list[face.Action] = []
 
     def handle(self, event: face.Event, now: float) -> list[face.Action]:
@@ -225,7 +258,6 @@
         if event.hint_ms > 0:
             self._hint += (event.hint_ms - self._hint) / OFFER_CALLS if self._hint else event.hint_ms
             request.size = event.hint_ms / self._hint
-        self._retry_budget = min(RETRY_BURST, self._retry_budget + RETRY_BUDGET)
         self._count_arrival(now)
         if self._settings.calling_tier == 0 and not self._admitted(
             request, event.tenant, event.remaining_ms, now
@@ -382,6 +414,9 @@
         attempt.out, attempt.ran = False, event.outcome not in face.NEVER_RAN
         self._book(attempt, event.outcome, request, now)
         if event.answered:
+            if request.owed and event.outcome is Outcome.SERVED:
+                self._retries.earn()
+                self._resends.earn()
             request.owed = False
             for beaten in (a for a in request.attempts if a.out):
                 self._note_idle(beaten, silent=True)
@@ -409,11 +444,11 @@
         attempt.server.note(request.cls.name, 0.0, min((now - attempt.sent) / usual, 1.0))
 
     def _try_again(self, request: _Request, now: float) -> bool:
-        """Make a further attempt if the retry budget has one left; it is free if no earlier one ever ran."""
-        cost = float(any(a.ran for a in request.attempts))
-        if self._retry_budget < cost or request.streaming or not self._try_send(request, now):
+        """Make a further attempt, if the budget for those of its kind has one left."""
+        budget = self._retries if any(a.ran for a in request.attempts) else self._resends
+        if not budget.allows() or request.streaming or not self._try_send(request, now):
             return False
-        self._retry_budget -= cost
+        budget.spend()
         return True
 
     def _give_up(self, request: _Request) -> None:
