Hear of a change within 5 s of discovery's return, whatever failed before

Cause: after a failed call the pause before the list was asked again grew to half of contract.askWithin (5 s by default, 60 s with 120 s), counted from the failure, and the first watch after it waited for up to 10 s (11 s with nobody answering). A change counts as told 6 s after discovery had it and could be reached. A watch that fell silent was opened anew up to 1.75 s after its wait, of 2 s.

Change: what grows is the time from call to call, to 1 to 3 s; after a failure 0.13 to 0.38 s pass at the least. The first watch after a failed call waits 1.2 to 1.5 s.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -16,6 +16,7 @@
 # though, and much shorter waits of a whole fleet would crowd it.
 WAIT_MS = 10_000  # of one watch call; news ends it at once
 PUSH_WAIT_MS = 3_000  # the same where lists are pushed: what a silent agent has counts as told after 6 s
+AGAIN_WAIT_MS = 1_500  # of the first watch after a failed call: if nobody answers it, that has to show soon
 LATE_S = 1.0  # past its wait, a watch call has failed: what it has to tell counts as told a second later
 WHOLE_S = 0.5  # from an answer's first byte to its last: one that stops short is not to be waited for
 SPREAD = 0.2  # part by which waits differ, so that balancers that started together do not call together
@@ -97,6 +98,7 @@
         self._random = random.Random(config.seed)
         self._task: asyncio.Task[None] | None = None
         self._link: _Link | None = None
+        self._failures = 0  # in a row
 
     def start(self) -> None:
         """Where lists are pushed, listen from the start: nobody subscribes there."""
@@ -122,23 +124,24 @@
         self.subscribe()
 
     async def _watch(self) -> None:
-        failures = 0
         while True:
             try:
                 news = await self._call()
             except Exception:
                 # Guards against a watch that ends unseen: whatever was wrong with a call, it has failed.
+                self._failures += 1
                 if self._link is not None:
                     self._link.close()
-                if self._asked:
+                if not self._asked:
+                    # What the agent has counts as told meanwhile: one that breaks is no reason to wait.
+                    pause_s = PUSH_PAUSE_S if self._failures > 1 else 0.0
+                else:
                     self._task = None
                     self._on_failed()  # when to ask again is the module's to say
                     return
-                # What the agent has counts as told meanwhile: a connection that breaks is no reason to wait.
-                failures += 1
-                await asyncio.sleep(PUSH_PAUSE_S if failures > 1 else 0.0)
+                await asyncio.sleep(pause_s)
                 continue
-            failures = 0
+            self._failures = 0
             self._index = news.index
             self._on_news(news)
 
@@ -146,6 +149,10 @@
         path, wait_s = "/v1/servers", 0.0
         if self._index >= 0:
             wait_ms = WAIT_MS if self._asked else PUSH_WAIT_MS
+            if self._failures:
+                # Guards against a discovery that takes calls and answers none: a call that was sent just
+                # before it recovered must not be waited for while its news come to count as told.
+                wait_ms = min(wait_ms, AGAIN_WAIT_MS)
             wait_s = wait_ms / 1000 * (1 - SPREAD * self._random.random())
             path += f"?after={self._index}&wait_ms={wait_s * 1000:.0f}"
         host, port = self._address
--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -48,7 +48,9 @@
     1 / 3,
     4.0,
 )  # calls lost, of how many, and how many count: `_sound`
-LIST_RETRY_MS = 500.0  # first pause before the list is asked again, doubled at each failure
+LIST_RETRY_MS = 500.0  # from one call for the list to the next, doubled at each failure
+LIST_RETRY_MOST_MS = 2_000.0  # and at the most: what is new when discovery is back counts as told after 6 s
+LIST_REST_MS = 250.0  # after a failure at the least: what a silent watch missed counts 2 s after its wait
 
 
 class _Server:
@@ -152,6 +154,7 @@
         self._memory = MEMORY_MS  # evidence on capacity fades by 1/e over this
         self._done, self._done_at = 0.0, -math.inf  # calls out, were those served of late as quick as usual
         self._list_failures, self._shedding_until = 0, -math.inf
+        self._list_ask_at = -math.inf  # when the list is, or was, asked for again after a failure
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
         self._longest = {c.name: 0.0 for c in settings.classes}  # that a client gave a try of late
         self._quota = {t.name: t.quota_per_s / 1000 for t in settings.tenants}
@@ -184,12 +187,17 @@
 
     def _listed(self, event: face.ListUpdate, now: float) -> None:
         if event.kind is ListKind.FAILED:
-            # The list is out of reach: the old one stands; ask again, not all balancers in step.
-            pause = min(LIST_RETRY_MS * 2 ** min(self._list_failures, 9), self._settings.ask_within_ms / 3)
+            # The list is out of reach: the old one stands; ask again, not all balancers in step. What grows
+            # is the time from call to call: one that was slow to fail has been pause enough.
+            most = min(LIST_RETRY_MOST_MS, self._settings.ask_within_ms / 3)
+            pause = min(LIST_RETRY_MS * 2 ** min(self._list_failures, 9), most)
+            spread = 0.5 + self._random.random()
             self._list_failures += 1
             if self._list_failures == 1:
                 self._actions.append(face.Log("server list out of reach; keeping the last one"))
-            self._actions.append(face.SetTimer(now + pause * (0.5 + self._random.random()), "list"))
+            rested = now + min(LIST_REST_MS, pause) * spread
+            self._list_ask_at = max(min(self._list_ask_at, now) + pause * spread, rested)
+            self._actions.append(face.SetTimer(self._list_ask_at, "list"))
             return
         if self._list_failures and event.kind is not ListKind.CACHED:
             self._list_failures = 0
