Ask a new discovery again soon while its news come to count after SIGHUP

Cause: what a new discovery has to tell counts as told 4 s after SIGHUP. When its first call failed, the module, which hears of no move, paused by the failures from before it, and the timer of that time went on beside the new one: after seven moves in an outage seven chains of calls stood. A first call with no answer was given up after 3 s, and repeated after up to 0.75 s more.

Change: calls begun in the first 4 s after a move that fail are repeated by the watch itself, 0.25 to 0.75 s later; the module's old timer finds that watch in place. A call without a wait is given up after 2.5 s.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 from collections.abc import Callable
 from typing import cast
@@ -20,9 +21,11 @@
 LATE_S = 1.0  # past its wait, a watch call has failed: what it has to tell counts as told a second later
 WHOLE_S = 0.5  # from an answer's first byte to its last: one that stops short is not to be waited for
 SPREAD = 0.2  # part by which waits differ, so that balancers that started together do not call together
-ANSWER_S = 3.0  # a call without a wait that is not answered has failed; discovery itself gives up sooner
+ANSWER_S = 2.5  # a call without a wait that is not answered has failed: news count 4 s after a move
 CONNECT_S = 1.0  # a machine that is away says nothing: a wait that has not begun must not be waited out
 PUSH_PAUSE_S = 0.1  # before the agent is called again that failed twice in a row, where lists are pushed
+MOVED_S = 4.0  # after SIGHUP, until what the new discovery has to tell counts as told
+MOVED_PAUSE_S = 0.5  # between calls that fail in that time; other pauses are the module's
 LIST_MAX = 4 * 1024 * 1024
 
 
@@ -99,6 +102,7 @@
         self._task: asyncio.Task[None] | None = None
         self._link: _Link | None = None
         self._failures = 0  # in a row
+        self._moved = -math.inf
 
     def start(self) -> None:
         """Where lists are pushed, listen from the start: nobody subscribes there."""
@@ -121,10 +125,12 @@
             self._link.close()
         self._link, self._task = None, None
         self._address, self._index = address, -1
+        self._moved = asyncio.get_running_loop().time()
         self.subscribe()
 
     async def _watch(self) -> None:
         while True:
+            began = asyncio.get_running_loop().time()
             try:
                 news = await self._call()
             except Exception:
@@ -135,6 +141,10 @@
                 if not self._asked:
                     # What the agent has counts as told meanwhile: one that breaks is no reason to wait.
                     pause_s = PUSH_PAUSE_S if self._failures > 1 else 0.0
+                elif began < self._moved + MOVED_S:
+                    # Guards against a pause by failures before the move, and against the module's timer of
+                    # that time beside a new one, each with its own calls: it is due by the end of this.
+                    pause_s = MOVED_PAUSE_S * (0.5 + self._random.random())
                 else:
                     self._task = None
                     self._on_failed()  # when to ask again is the module's to say
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -27,6 +27,7 @@
 
 TOLD_S = 6.0  # after a failed call: from when discovery had a change, and could be reached
 SILENT_S = 2.0  # after the wait of a watch that fell silent, if that is later
+MOVED_S = 4.0  # after SIGHUP
 MARGIN_S = 1.0
 LIST_S = 0.35  # to connect, and to get and read a list of 7,000 entries (930 kB)
 SPREAD_MOST = 1.5  # of pauses
@@ -199,6 +200,7 @@
         text = config_text(
             f"127.0.0.1:{agent.port}", [entry("s0", "127.0.0.1:9")], discovery=how, contract=contract
         ).replace("8c1f30d27a5be964", f"{seed:x}")
+        self._text = text
         self.driver = Driver(read_config(text, lambda note: None), loop)
         self.driver.clock.now = lambda: 1e12 + loop.time() * 1000  # type: ignore[method-assign]
         handle = self.driver.balancer.handle
@@ -216,6 +218,11 @@
         self.driver.balancer.handle = spy  # type: ignore[method-assign]
         self.driver.start()
 
+    def move(self, agent: Agent) -> None:
+        """SIGHUP with another address of discovery."""
+        text = json.loads(self._text) | {"discovery": f"127.0.0.1:{agent.port}"}
+        self.driver.reconfigure(read_config(json.dumps(text), lambda note: None))
+
     async def hears(self) -> float:
         """When its module heard of the drain; it is let go then."""
         heard: float = await asyncio.wait_for(self.heard, 120)
@@ -294,6 +301,72 @@
         play(partial(scenario, seed=seed, calls=calls))
 
 
+@pytest.mark.parametrize("how", ["ask", "push"])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_after_a_move_the_failures_before_it_count_no_more(fault: str, how: str) -> None:
+    """The new discovery's first call failed, and it was asked again after the pause of a long outage."""
+
+    async def scenario(loop: _Loop, seed: int, phase: float) -> None:
+        old, new = Agent(loop, 1), Agent(loop, 2)
+        told = Told(old, seed, 120_000.0, how)
+        await asyncio.sleep(1.0)
+        old.fail("refuses")
+        await asyncio.sleep(40.0)
+        tries = len(old.tries)
+        while len(old.tries) == tries:  # a try of the module's, whose pause runs then
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(phase)
+        new.fault = fault
+        signal = loop.time()
+
+        def recover() -> None:
+            new.fault, new.on_try = "", lambda: None
+            new.change()
+
+        new.on_try = lambda: loop.call_soon(recover)  # the first call has met its fate
+        told.move(new)
+        heard = await told.hears()
+        assert new.tries[0] == signal
+        # Both at the new one's beginning: a connection that is late, and a call that is not answered.
+        allowed = TOLD_S if fault == "late" else MOVED_S
+        assert heard + LIST_S < signal + allowed
+
+    for seed, phase in itertools.product(range(1, 6), (0.0, 0.4, 0.9)):
+        play(partial(scenario, seed=seed, phase=phase))
+
+
+def test_moves_during_an_outage_leave_one_call_at_a_time() -> None:
+    """Each move's failed call set a timer beside the one that stood, and all of them went on for ever."""
+
+    async def scenario(loop: _Loop) -> None:
+        agents = [Agent(loop, port) for port in range(1, 9)]
+        told = Told(agents[0], 1, 120_000.0, "ask")
+        await asyncio.sleep(1.0)
+        for agent in agents:
+            agent.fail("refuses")
+        await asyncio.sleep(30.0)
+        for agent in agents[1:]:
+            told.move(agent)
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(10.0)
+        last = agents[-1]
+        before = len(last.tries)
+        await asyncio.sleep(60.0)
+        least_s = policy.LIST_RETRY_MOST_MS / 1000 * 0.5
+        assert 60.0 / TOLD_S < len(last.tries) - before <= 60.0 / least_s
+        assert sum(len(agent.tries) for agent in agents[1:-1]) == len(agents) - 2, "let go with the move"
+        last.fault = ""
+        last.change()
+        heard = await told.hears()
+        calls = len(last.calls)
+        await asyncio.sleep(30.0)  # a timer that is left over does no harm to the watch that stands
+        assert loop.time() >= heard + 30.0
+        assert [line.after for line in last.lines] == [last.index]
+        assert len(last.calls) - calls <= 30.0 / (discovery.WAIT_MS / 1000 * (1 - discovery.SPREAD)) + 1
+
+    play(scenario)
+
+
 def test_the_first_watch_after_a_failure_does_not_wait_long() -> None:
     async def scenario() -> None:
         async with Rig(Upstream()) as rig:
@@ -350,4 +423,10 @@
     # A watch that stood falls silent.
     assert discovery.LATE_S + rest_s + LIST_S < SILENT_S
     assert worst_s > discovery.PUSH_WAIT_MS / 1000 + discovery.LATE_S + LIST_S
+    # SIGHUP, and the new one's first call fails.
+    pause_s = discovery.MOVED_PAUSE_S * SPREAD_MOST
+    assert discovery.MOVED_S <= MOVED_S
+    assert max(discovery.ANSWER_S, discovery.CONNECT_S) + pause_s + LIST_S < MOVED_S
+    assert discovery.CONNECT_S + discovery.ANSWER_S + pause_s + LIST_S < worst_s
+    assert period_s < discovery.MOVED_S, "a timer of before is due while the new one's calls are ours"
     assert call_s >= discovery.WHOLE_S, "an answer that stops short ends no later"
