--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -23,6 +23,7 @@
 from basaltspindle.net import discovery
 from basaltspindle.net.config import read_config
 from basaltspindle.net.driver import Driver
+from tests.helpers import Desk, of_kind
 from tests.loopback import Rig, Upstream, config_text, entry, response, run
 
 TOLD_S = 6.0  # after a failed call: from when discovery had a change, and could be reached
@@ -430,3 +431,11 @@
     assert discovery.CONNECT_S + discovery.ANSWER_S + pause_s + LIST_S < worst_s
     assert period_s < discovery.MOVED_S, "a timer of before is due while the new one's calls are ours"
     assert call_s >= discovery.WHOLE_S, "an answer that stops short ends no later"
+
+
+def test_failures_that_nobody_asked_for_do_not_add_up_to_a_long_pause() -> None:
+    desk = Desk(2, list_is_asked=True)
+    for _ in range(100):
+        timer = of_kind(desk.tell(face.ListUpdate(ListKind.FAILED)), face.SetTimer)[0]
+    assert isinstance(timer, face.SetTimer)
+    assert desk.now < timer.at_ms <= desk.now + policy.LIST_RETRY_MOST_MS * SPREAD_MOST
