Test that idle clients leave descriptors to discovery and the upstreams

The program with 256 descriptors, discovery refusing and 320 idle clients that come again: it takes in no more than its half, and when discovery listens it watches it, reaches an upstream and serves a request. The code was right; with the callers' bound out, or without its spare part, the test fails.

--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -8,11 +8,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import json
+import os
 import selectors
+import socket
+import sys
 from collections.abc import Callable, Coroutine
 from functools import partial
+from pathlib import Path
 from typing import Any, TypeVar, cast
 
 import pytest
@@ -23,8 +28,19 @@
 from basaltspindle.net import discovery
 from basaltspindle.net.config import read_config
 from basaltspindle.net.driver import Driver
+from basaltspindle.net.upstreams import SPARE_SOCKETS
 from tests.helpers import Desk, of_kind
-from tests.loopback import Rig, Upstream, config_text, entry, response, run
+from tests.loopback import (
+    Caller,
+    ListServer,
+    Rig,
+    Upstream,
+    config_text,
+    entry,
+    response,
+    run,
+    status,
+)
 
 TOLD_S = 6.0  # after a failed call: from when discovery had a change, and could be reached
 SILENT_S = 2.0  # after the wait of a watch that fell silent, if that is later
@@ -439,3 +455,71 @@
         timer = of_kind(desk.tell(face.ListUpdate(ListKind.FAILED)), face.SetTimer)[0]
     assert isinstance(timer, face.SetTimer)
     assert desk.now < timer.at_ms <= desk.now + policy.LIST_RETRY_MOST_MS * SPREAD_MOST
+
+
+# ---- descriptors kept free for discovery --------------------------------------------------------
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_out_neither_discovery_nor_upstreams(
+    tmp_path: Path,
+) -> None:
+    """Discovery is down meanwhile; what the balancer needs at its return has to be free then."""
+    sockets, clients = 256, 320
+
+    async def idle(port: int) -> None:
+        for _ in range(100):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            with contextlib.suppress(ConnectionError):
+                await reader.read()  # until it is told to make way
+            writer.close()
+
+    async def scenario() -> None:
+        upstream, agent = Upstream(), ListServer()
+        with socket.socket() as probe, socket.socket() as down:
+            probe.bind(("127.0.0.1", 0))
+            down.bind(("127.0.0.1", 0))  # does not listen yet: who comes is refused
+            port, agent_port = probe.getsockname()[1], down.getsockname()[1]
+            probe.close()
+            raw = json.loads(config_text(f"127.0.0.1:{agent_port}", []))
+            raw |= {"listen": f"127.0.0.1:{port}", "limits": {"memory_mb": 192, "sockets": sockets}}
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(raw))
+            limited = f'ulimit -n {sockets} && exec "$0" -m basaltspindle'
+            node = await asyncio.create_subprocess_exec(
+                "sh",
+                "-c",
+                limited,
+                sys.executable,
+                env=os.environ | {"LB_CONFIG": str(path)},
+                stderr=asyncio.subprocess.PIPE,
+            )
+            crowd: list[asyncio.Task[None]] = []
+            try:
+                assert node.stderr is not None
+                assert b"list out of reach" in await node.stderr.readline()
+                crowd.extend(asyncio.ensure_future(idle(port)) for _ in range(clients))
+                cap, most = sockets // 2 - SPARE_SOCKETS, 0
+                while most < cap:
+                    most = max(most, len(os.listdir(f"/proc/{node.pid}/fd")))
+                    await asyncio.sleep(0.01)
+                for _ in range(100):  # they go on coming: over three times as many as are taken in
+                    most = max(most, len(os.listdir(f"/proc/{node.pid}/fd")))
+                    await asyncio.sleep(0.01)
+                assert cap <= most <= sockets // 2, "the other half is for upstreams and discovery"
+                server = await asyncio.start_server(agent._serve, sock=down)
+                await agent.calls.get()
+                agent.tell(8, entry("s0", await upstream.start()), snapshot=True)
+                assert "after=8&" in await agent.calls.get()
+                caller = Caller()
+                caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", port)
+                caller.send()
+                assert status(await caller.answer()) == 200
+                assert not any(task.done() for task in crowd), "the idle ones never went away"
+                server.close()
+            finally:
+                for task in crowd:
+                    task.cancel()
+                node.kill()
+                await node.wait()
+
+    run(scenario())
