Close the old connection to discovery when another is opened

Cause: a discovery that answers with `Connection: close` and leaves the connection open cost one descriptor for each call; only chance (garbage collection) gave some back. The link was marked closed and replaced, never closed.

--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -167,6 +167,8 @@
             path += f"?after={self._index}&wait_ms={wait_s * 1000:.0f}"
         host, port = self._address
         if self._link is None or self._link.closed:
+            if self._link is not None:
+                self._link.close()  # Guards against one that says it ends and stays open, on each call
             async with asyncio.timeout(CONNECT_S):
                 _, self._link = await asyncio.get_running_loop().create_connection(_Link, host, port)
         request = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -37,6 +37,7 @@
     Upstream,
     config_text,
     entry,
+    read_message,
     response,
     run,
     status,
@@ -523,3 +524,35 @@
                 await node.wait()
 
     run(scenario())
+
+
+def test_a_discovery_that_ends_each_connection_and_leaves_it_open_uses_up_no_descriptors() -> None:
+    """It says `Connection: close` and does not close; each call left one connection behind."""
+
+    async def scenario() -> None:
+        open_now, index, served = 0, 7, asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal open_now, index
+            open_now += 1
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await read_message(reader)
+                index += 1
+                if index == 40:
+                    served.set()
+                    return
+                body = json.dumps({"index": index, "snapshot": False, "endpoints": []}).encode()
+                writer.write(response(200, body, "Connection: close"))
+                await reader.read()
+            open_now -= 1
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        config = read_config(config_text(f"{host}:{port}", [entry("s0", "127.0.0.1:9")]), lambda note: None)
+        watch = discovery.Discovery(config, lambda news: None, lambda: None)
+        watch.subscribe()
+        await served.wait()
+        assert open_now < 10, "of 33: the one in use, and what is just closing"
+
+    run(scenario())
