Look for room when a connection to an upstream is opened, not a turn before

Cause: an attempt looked for room as it started and opened its connection in the loop's next turn, so all attempts that began in one turn found the same room. With 256 descriptors the callers' 104 may begin as many attempts at once, beside connections that are open, and use up what is kept for discovery.

Measured: of 12 attempts begun in one turn under a bound of 5, 12 opened a connection; now 5 do and 7 end as not sent.

--- a/basaltspindle/net/upstreams.py
+++ b/basaltspindle/net/upstreams.py
@@ -198,10 +198,8 @@
         connection = self._pool.take()
         if connection is not None:
             self._begin(connection)
-        elif self._pool.upstreams.has_room():
-            self._task = loop.create_task(self._connect())
         else:
-            loop.call_soon(self._finish, Outcome.NOT_SENT)
+            self._task = loop.create_task(self._connect())
 
     def cancel(self) -> None:
         """Stop waiting: the connection is closed, which tells the upstream."""
@@ -222,6 +220,11 @@
 
     async def _connect(self) -> None:
         upstreams = self._pool.upstreams
+        # Guards against attempts that begin in one turn and all find room: the rest belongs to discovery.
+        if not upstreams.has_room():
+            self._task = None
+            self._finish(Outcome.NOT_SENT)
+            return
         try:
             async with asyncio.timeout(upstreams.config.connect_timeout_ms / 1000):
                 connection = await self._pool.connect()
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -24,7 +24,7 @@
 
 from basaltspindle import interface as face
 from basaltspindle import policy
-from basaltspindle.interface import ListKind
+from basaltspindle.interface import ListKind, Outcome
 from basaltspindle.net import discovery
 from basaltspindle.net.config import read_config
 from basaltspindle.net.driver import Driver
@@ -40,8 +40,10 @@
     read_message,
     response,
     run,
+    silent,
     status,
 )
+from tests.test_upstreams import Try, make
 
 TOLD_S = 6.0  # after a failed call: from when discovery had a change, and could be reached
 SILENT_S = 2.0  # after the wait of a watch that fell silent, if that is later
@@ -556,3 +558,20 @@
         assert open_now < 10, "of 33: the one in use, and what is just closing"
 
     run(scenario())
+
+
+def test_attempts_that_begin_in_one_turn_keep_to_the_upstreams_part_of_the_descriptors() -> None:
+    """Each found room before the first had opened its connection: all that came at once got one."""
+
+    async def scenario() -> None:
+        upstream = Upstream(silent)
+        upstreams = make(await upstream.start())
+        upstreams.cap = 5
+        tries = [Try(upstreams) for _ in range(12)]
+        while upstream.connections < 5 or sum(bool(one.ends) for one in tries) < 7:
+            assert upstreams.open <= 5
+            await asyncio.sleep(0.001)
+        assert upstreams.open == upstream.connections == 5
+        assert [one.ends for one in tries if one.ends] == [[Outcome.NOT_SENT]] * 7
+
+    run(scenario())
