--- a/basaltspindle/net/discovery.py
+++ b/basaltspindle/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 from collections.abc import Callable
 from typing import cast
@@ -16,12 +17,15 @@
 # though, and much shorter waits of a whole fleet would crowd it.
 WAIT_MS = 10_000  # of one watch call; news ends it at once
 PUSH_WAIT_MS = 3_000  # the same where lists are pushed: what a silent agent has counts as told after 6 s
+AGAIN_WAIT_MS = 1_500  # of the first watch after a failed call: if nobody answers it, that has to show soon
 LATE_S = 1.0  # past its wait, a watch call has failed: what it has to tell counts as told a second later
 WHOLE_S = 0.5  # from an answer's first byte to its last: one that stops short is not to be waited for
 SPREAD = 0.2  # part by which waits differ, so that balancers that started together do not call together
-ANSWER_S = 3.0  # a call without a wait that is not answered has failed; discovery itself gives up sooner
+ANSWER_S = 2.5  # a call without a wait that is not answered has failed: news count 4 s after a move
 CONNECT_S = 1.0  # a machine that is away says nothing: a wait that has not begun must not be waited out
 PUSH_PAUSE_S = 0.1  # before the agent is called again that failed twice in a row, where lists are pushed
+MOVED_S = 4.0  # after SIGHUP, until what the new discovery has to tell counts as told
+MOVED_PAUSE_S = 0.5  # between calls that fail in that time; other pauses are the module's
 LIST_MAX = 4 * 1024 * 1024
 
 
@@ -97,6 +101,8 @@
         self._random = random.Random(config.seed)
         self._task: asyncio.Task[None] | None = None
         self._link: _Link | None = None
+        self._failures = 0  # in a row
+        self._moved = -math.inf
 
     def start(self) -> None:
         """Where lists are pushed, listen from the start: nobody subscribes there."""
@@ -119,26 +125,33 @@
             self._link.close()
         self._link, self._task = None, None
         self._address, self._index = address, -1
+        self._moved = asyncio.get_running_loop().time()
         self.subscribe()
 
     async def _watch(self) -> None:
-        failures = 0
         while True:
+            began = asyncio.get_running_loop().time()
             try:
                 news = await self._call()
             except Exception:
                 # Guards against a watch that ends unseen: whatever was wrong with a call, it has failed.
+                self._failures += 1
                 if self._link is not None:
                     self._link.close()
-                if self._asked:
+                if not self._asked:
+                    # What the agent has counts as told meanwhile: one that breaks is no reason to wait.
+                    pause_s = PUSH_PAUSE_S if self._failures > 1 else 0.0
+                elif began < self._moved + MOVED_S:
+                    # Guards against a pause by failures before the move, and against the module's timer of
+                    # that time beside a new one, each with its own calls: it is due by the end of this.
+                    pause_s = MOVED_PAUSE_S * (0.5 + self._random.random())
+                else:
                     self._task = None
                     self._on_failed()  # when to ask again is the module's to say
                     return
-                # What the agent has counts as told meanwhile: a connection that breaks is no reason to wait.
-                failures += 1
-                await asyncio.sleep(PUSH_PAUSE_S if failures > 1 else 0.0)
+                await asyncio.sleep(pause_s)
                 continue
-            failures = 0
+            self._failures = 0
             self._index = news.index
             self._on_news(news)
 
@@ -146,10 +159,16 @@
         path, wait_s = "/v1/servers", 0.0
         if self._index >= 0:
             wait_ms = WAIT_MS if self._asked else PUSH_WAIT_MS
+            if self._failures:
+                # Guards against a discovery that takes calls and answers none: a call that was sent just
+                # before it recovered must not be waited for while its news come to count as told.
+                wait_ms = min(wait_ms, AGAIN_WAIT_MS)
             wait_s = wait_ms / 1000 * (1 - SPREAD * self._random.random())
             path += f"?after={self._index}&wait_ms={wait_s * 1000:.0f}"
         host, port = self._address
         if self._link is None or self._link.closed:
+            if self._link is not None:
+                self._link.close()  # Guards against one that says it ends and stays open, on each call
             async with asyncio.timeout(CONNECT_S):
                 _, self._link = await asyncio.get_running_loop().create_connection(_Link, host, port)
         request = f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
