Test that a start waits for nobody, and that what it does is bounded

The tests count and don't time: /healthz answers 200 with discovery silent, refusing or down, lists asked for or pushed, known or not; a start imports ten files of ours, two packages and no heavy part of the standard library; the build leaves a compiled file for each source; a known list of 7,000 entries is read once and told once.

--- /dev/null
+++ b/tests/test_ready.py
@@ -0,0 +1,160 @@
+"""Readiness: what a start does, and what it does not wait for. Nothing here goes by the machine's speed."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib.util
+import json
+import os
+import socket
+import subprocess
+import sys
+import tomllib
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.loopback import PATIENCE_S, Caller, config_text, entry, run, status
+
+ROOT = Path(__file__).parent.parent
+ENTRIES = 7_000  # a full fleet's list
+
+# Does `before`, starts the program, ends it as it begins to listen and prints `looked`.
+BRIEFLY = """if True:
+    import gc, json, os, signal, sys
+    {before}
+    from basaltspindle import __main__ as program
+    from basaltspindle.net.callers import Callers
+    start = Callers.start
+    def start_and_end(callers):
+        start(callers)
+        os.kill(os.getpid(), signal.SIGTERM)
+    Callers.start = start_and_end
+    assert program.main() == 0
+    print(json.dumps({looked}))
+"""
+
+
+def look_at_a_start(tmp_path: Path, looked: str, before: str = "pass", entries: int = 6) -> Any:
+    """What an expression says of a program that was started on so many known servers and then ended."""
+    known = [entry(f"s{i}", f"127.0.0.1:{i + 1}") for i in range(entries)]
+    path = tmp_path / "config.json"
+    path.write_text(config_text("127.0.0.1:9", known))
+    done = subprocess.run(
+        [sys.executable, "-c", BRIEFLY.format(before=before.replace("\n", "\n    "), looked=looked)],
+        env=os.environ | {"LB_CONFIG": str(path)},
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=PATIENCE_S,
+    )
+    assert done.returncode == 0, done.stderr
+    return json.loads(done.stdout)
+
+
+@contextmanager
+def discovery(state: str) -> Iterator[str]:
+    """An address at which discovery answers no call."""
+    with socket.socket() as listener, socket.socket() as first, socket.socket() as second:
+        listener.bind(("127.0.0.1", 0))
+        if state == "silent":
+            listener.listen()
+        if state == "down":  # connections never come up
+            listener.listen(0)
+            for filler in (first, second):
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@pytest.mark.parametrize("kind", ["ask", "push"])
+@pytest.mark.parametrize("state", ["silent", "refusing", "down"])
+@pytest.mark.parametrize("entries", [0, 1])
+def test_it_is_ready_without_discovery(state: str, kind: str, entries: int, tmp_path: Path) -> None:
+    async def scenario() -> None:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        with discovery(state) as agent:
+            path = tmp_path / "config.json"
+            text = config_text(agent, [entry("s0", "127.0.0.1:9")] * entries, discovery=kind)
+            path.write_text(text.replace("127.0.0.1:0", f"127.0.0.1:{port}"))
+            node = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "basaltspindle", cwd=ROOT, env=os.environ | {"LB_CONFIG": str(path)}
+            )
+            try:
+                caller, end = Caller(), asyncio.get_running_loop().time() + PATIENCE_S
+                while True:
+                    try:
+                        caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", port)
+                        break
+                    except ConnectionRefusedError:
+                        assert asyncio.get_running_loop().time() < end
+                        await asyncio.sleep(0.01)
+                caller.writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+                assert status(await caller.answer()) == 200
+                caller.writer.close()
+            finally:
+                node.kill()
+                await node.wait()
+
+    run(scenario())
+
+
+def test_a_start_imports_what_it_needs_and_nothing_else(tmp_path: Path) -> None:
+    """Of twenty starts at once on one core each pays for what all import."""
+    loaded = set(look_at_a_start(tmp_path, "sorted(sys.modules)"))
+    bare = subprocess.run(
+        [sys.executable, "-c", "import sys; print(*sys.modules)"], capture_output=True, text=True, check=True
+    )
+    new = loaded - set(bare.stdout.split())
+    ours = {name for name in new if name.partition(".")[0] == "basaltspindle"}
+    assert ours == {"basaltspindle"} | {
+        f"basaltspindle.{name}"
+        for name in "__main__ interface net net.callers net.config net.discovery net.driver net.upstreams "
+        "policy wire".split()
+    }
+    tops = {name.partition(".")[0] for name in new}
+    others = {name for name in tops - set(sys.stdlib_module_names) if "cython" not in name}
+    assert others == {"basaltspindle", "uvloop", "httptools"}
+    heavy = "ctypes email http multiprocessing pathlib pickle sqlite3 tempfile unittest urllib".split()
+    assert not tops.intersection(heavy)
+
+
+def test_the_build_compiles_every_file(tmp_path: Path) -> None:
+    """At run time the file system is read-only: what is not compiled then is compiled at every start."""
+    deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    package = tmp_path / "basaltspindle"
+    for source in (ROOT / "basaltspindle").rglob("*.py"):
+        copy = package / source.relative_to(ROOT / "basaltspindle")
+        copy.parent.mkdir(parents=True, exist_ok=True)
+        copy.write_bytes(source.read_bytes())
+    (tmp_path / ".venv").symlink_to(sys.prefix)
+    subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=tmp_path, check=True)
+    sources = list(package.rglob("*.py"))
+    assert len(sources) > 10
+    assert [s for s in sources if not Path(importlib.util.cache_from_source(str(s))).exists()] == []
+
+
+def test_a_long_known_list_is_read_and_told_once(tmp_path: Path) -> None:
+    before = """if True:
+        from basaltspindle import interface, policy
+        from basaltspindle.net import config
+        counts = dict(files=0, entries=0, told=0)
+        def counting(name, function, applies=lambda *args: True):
+            def counted(*args):
+                counts[name] += applies(*args)
+                return function(*args)
+            return counted
+        def opened(name, args):
+            counts["files"] += name == "open" and args[0] == os.environ["LB_CONFIG"]
+        sys.addaudithook(opened)
+        config._read_endpoint = counting("entries", config._read_endpoint)
+        policy.Balancer.handle = counting("told", policy.Balancer.handle,
+            lambda _, event, now: isinstance(event, interface.ListUpdate) and event.kind.name != "FAILED")
+    """
+    counts = look_at_a_start(tmp_path, "counts", before, ENTRIES)
+    assert counts == {"files": 1, "entries": ENTRIES, "told": 1}
