Survive a SIGHUP that comes while the program imports what it is made of

Cause: the handler that keeps an early SIGHUP was set in main(), behind the imports of asyncio, uvloop and the network code at the top of __main__.py; a SIGHUP in that time ended the process (status -1), which is a crash. Now signals are seen to first, and what takes long is imported after that. What is left is the interpreter's own start and the package's first two files.

The rest of these moments was right already: a SIGHUP as the file is read, between that and the event loop, and as the program binds; a SIGTERM at the same moments (the signal itself ends it, or the usual end with status 0, never a traceback), and one with which a request comes as the program begins to listen.

--- a/basaltspindle/__main__.py
+++ b/basaltspindle/__main__.py
@@ -1,28 +1,35 @@
-"""The balancer as a program: `python -m basaltspindle`, told all it needs by the file in `LB_CONFIG`."""
+"""The balancer as a program: `python -m basaltspindle`, told all it needs by the file in `LB_CONFIG`.
+
+Signals are seen to first: what the program is made of is imported only after that, since it takes a while.
+"""
 
 from __future__ import annotations
 
-import asyncio
 import gc
 import os
 import signal
 import sys
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-import uvloop
-
-from basaltspindle.net.config import Config, ConfigError, read_config
-from basaltspindle.net.driver import Driver
+if TYPE_CHECKING:
+    from basaltspindle.net.config import Config
 
 
 def load(path: str, note: Callable[[str], None]) -> Config:
     """The configuration in a file."""
+    from basaltspindle.net.config import read_config
+
     with open(path, encoding="utf-8") as file:
         return read_config(file.read(), note)
 
 
 async def serve(config: Config, path: str, asked_early: list[int]) -> None:
     """Balance until SIGTERM, then until all that was taken is answered."""
+    import asyncio
+
+    from basaltspindle.net.driver import Driver
+
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -52,10 +59,14 @@
     notes: list[str] = []
     asked_early: list[int] = []  # a SIGHUP that comes before the loop listens must not end us, nor be lost
     signal.signal(signal.SIGHUP, lambda number, frame: asked_early.append(number))
+    import asyncio
+
+    import uvloop
+
     path = os.environ.get("LB_CONFIG")
     try:
         if not path:
-            raise ConfigError("LB_CONFIG is not set")
+            raise ValueError("LB_CONFIG is not set")
         config = load(path, notes.append)
     except (OSError, ValueError) as error:
         print(f"basaltspindle: configuration: {' '.join(str(error).split())}", file=sys.stderr)
