--- a/basaltspindle/__main__.py
+++ b/basaltspindle/__main__.py
@@ -48,8 +48,8 @@
     driver.start()
     if asked_early:
         read_again()
-    gc.collect()
     gc.freeze()  # what start-up made stays: it need not be looked at again
+    gc.enable()
     await stop.wait()
     await driver.callers.end()
 
@@ -59,6 +59,7 @@
     notes: list[str] = []
     asked_early: list[int] = []  # a SIGHUP that comes before the loop listens must not end us, nor be lost
     signal.signal(signal.SIGHUP, lambda number, frame: asked_early.append(number))
+    gc.disable()  # until the start is made: next to nothing of it is garbage
     import asyncio
 
     import uvloop
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -158,3 +158,24 @@
     """
     counts = look_at_a_start(tmp_path, "counts", before, ENTRIES)
     assert counts == {"files": 1, "entries": ENTRIES, "told": 1}
+
+
+def test_a_start_is_not_searched_for_garbage(tmp_path: Path) -> None:
+    """Thousands of entries bring objects that stay; the collector went through them again and again."""
+    before = """if True:
+        def collections():
+            return [generation["collections"] for generation in gc.get_stats()]
+        import asyncio
+        enter = asyncio.Runner.__enter__
+        def entering(runner):
+            seen.append(collections())
+            return enter(runner)
+        asyncio.Runner.__enter__ = entering
+        freeze, seen = gc.freeze, []
+        def last():
+            seen.append(collections())
+            freeze()
+        gc.freeze = last
+    """
+    (ran, frozen), enabled = look_at_a_start(tmp_path, "(seen, gc.isenabled())", before, ENTRIES)
+    assert ran == frozen and enabled
