Read and answer what was accepted just before the wait after SIGTERM is over

Cause: the last pause of Callers.end was 50 ms of time. A busy loop uses it up in one turn: a connection accepted but not set up, with its request in the kernel, was still unread as the program ended, which is a reset and a lost request. Now turns of the loop are counted (five of 10 ms, as long as before where nothing holds the loop up).

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -49,6 +49,7 @@
 FRESH_S = 0.1  # a connection is opened for a request, which follows
 TERM_ACCEPT_S = 0.5  # new connections go on coming for a while after SIGTERM
 TERM_STAY_S = 1.5  # so long after it callers may use those they have: another balancer may not be back yet
+LAST_TURNS, LAST_TURN_S = 5, 0.01  # of the loop, once the wait after SIGTERM is over
 _UNIT_MS = {b"m": 1.0, b"u": 0.001}
 _SPAN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])")
 _NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,9})?")
@@ -644,4 +645,7 @@
             await asyncio.sleep(0.01)
         if self._connections:
             self.desk.close()
-            await asyncio.sleep(ACCEPT_PAUSE_S)
+            # Guards against a busy loop, which uses up any pause: what was accepted just before is set up,
+            # read and answered within some turns.
+            for _ in range(LAST_TURNS):
+                await asyncio.sleep(LAST_TURN_S)
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -5,13 +5,18 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
-from tests.loopback import PATIENCE_S, ListServer, config_text, entry, run
+from basaltspindle.net import callers as net_callers
+from basaltspindle.net.callers import CallerConnection, Callers
+from tests.loopback import PATIENCE_S, ListServer, Rig, Upstream, config_text, entry, run, status
+from tests.test_left import ask, client_of
 
 ROOT = Path(__file__).parent.parent
 
@@ -120,3 +125,150 @@
     )
     assert done.returncode == 0, done.stderr
     assert done.stdout == "HTTP/1.1 503 Service Unavailable\n"  # refused: no upstream is there
+
+
+def hold_setting_up(monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """Connections are taken from the kernel's queue, but stay as they are until the event is set."""
+    let, connect = asyncio.Event(), Callers._connect
+
+    async def held(callers: Callers, connection: CallerConnection, sock: socket.socket) -> None:
+        await let.wait()
+        await connect(callers, connection, sock)
+
+    monkeypatch.setattr(Callers, "_connect", held)
+    return let
+
+
+def test_what_was_accepted_but_not_set_up_when_the_wait_is_over_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A busy loop used the last pause up: the program ended with the request unread, which is a reset."""
+    monkeypatch.setattr(net_callers, "TERM_ACCEPT_S", 0.0)
+    monkeypatch.setattr(net_callers, "TERM_STAY_S", 0.0)
+    monkeypatch.setattr(net_callers, "TERM_LONGEST_S", 0.05)
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            let, callers = hold_setting_up(monkeypatch), rig.driver.callers
+            client, loop = client_of(rig), asyncio.get_running_loop()
+            client.sendall(ask("/read", 1))
+            while not callers._connections:
+                await asyncio.sleep(0.001)
+            close = rig.driver.close
+
+            def close_late() -> None:
+                close()
+                let.set()
+                loop.call_soon(time.sleep, 2 * net_callers.ACCEPT_PAUSE_S)  # as other work would
+
+            monkeypatch.setattr(rig.driver, "close", close_late)
+            await callers.end()
+            client.setblocking(False)  # the process is over: what is not there now never comes
+            assert client.recv(65_536).startswith(b"HTTP/1.1 503 ")
+            assert client.recv(1) == b""
+
+    run(scenario())
+
+
+def test_improper_peers_get_what_they_are_owed_as_soon_as_a_busy_loop_runs_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They connected while it was busy, longer than they are waited for: that time has passed for them."""
+    monkeypatch.setattr(net_callers, "SILENT_S", 0.2)
+    monkeypatch.setattr(net_callers, "SWEEP_S", 0.02)
+
+    async def scenario() -> None:
+        sweeps, enough = set[float](), CallerConnection.enough
+
+        def counted(connection: CallerConnection, now: float, half_s: float, idle_s: float) -> bool:
+            sweeps.add(now)
+            return enough(connection, now, half_s, idle_s)
+
+        monkeypatch.setattr(CallerConnection, "enough", counted)
+        upstream = Upstream()
+        async with Rig(upstream) as rig:
+            await asyncio.sleep(0)  # it listens, and looks round from now on
+            wanted = {
+                b"BAD\r\n\r\n": b"HTTP/1.1 400 ",
+                b"": b"",
+                b"GET /read HT": b"HTTP/1.1 408 ",
+                ask("/read", 1)[:-2]: b"HTTP/1.1 408 ",
+                ask("/pay", 2, b"debit")[:-1]: b"HTTP/1.1 408 ",
+            }
+            peers = [client_of(rig) for _ in wanted]
+            for peer, sent in zip(peers, wanted, strict=True):
+                peer.sendall(sent)
+            time.sleep(0.3)  # the loop is busy
+            for peer in peers:
+                peer.setblocking(False)
+            loop = asyncio.get_running_loop()
+            answers = [await loop.sock_recv(peer, 65_536) for peer in peers]
+            for answer, start in zip(answers, wanted.values(), strict=True):
+                assert answer.startswith(start) and bool(answer) == bool(start)
+            # Counted anew from when they were accepted it would have been ten.
+            assert len(sweeps) <= 6 and not upstream.connections
+
+    run(scenario())
+
+
+def test_the_rest_of_a_request_that_is_there_at_the_last_look_is_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(net_callers, "SILENT_S", 0.05)
+    monkeypatch.setattr(net_callers, "SWEEP_S", 0.01)
+
+    async def scenario() -> None:
+        enough, rest = CallerConnection.enough, [ask("/read", 1)[-2:], ask("/read", 2)[-2:]]
+        async with Rig(Upstream()) as rig:
+            peer = await rig.caller()
+            peer.writer.write(ask("/read", 1)[:-2])
+            client = peer.writer.transport.get_extra_info("socket")
+
+            def rest_before(connection: CallerConnection, now: float, *spans: float) -> bool:
+                if connection.is_half() and now - connection.started >= net_callers.SILENT_S and rest:
+                    with socket.socket(fileno=os.dup(client.fileno())) as own:
+                        own.send(rest.pop())
+                return enough(connection, now, *spans)
+
+            monkeypatch.setattr(CallerConnection, "enough", rest_before)
+            assert status(await peer.answer()) == 200
+            peer.writer.write(ask("/read", 2)[:-2])  # the same once more: each request has its own time
+            assert status(await peer.answer()) == 200
+
+    run(scenario())
+
+
+def test_no_connection_goes_for_lack_of_room_while_its_request_is_being_taken(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One is not set up yet, the request of another is not read yet; a third waits for room."""
+    monkeypatch.setattr(net_callers, "HASTE_S", 60.0)
+    monkeypatch.setattr(net_callers, "IDLE_S", 60.0)
+
+    async def scenario() -> None:
+        async with Rig(Upstream()) as rig:
+            callers, loop = rig.driver.callers, asyncio.get_running_loop()
+            callers._cap = 2
+            idle = await rig.caller()
+            idle.send()
+            assert status(await idle.answer()) == 200
+            let = hold_setting_up(monkeypatch)
+            fresh = client_of(rig)
+            fresh.sendall(ask("/read", 1))
+            while len(callers._connections) < 2:
+                await asyncio.sleep(0)
+            waiting = client_of(rig)
+            waiting.sendall(ask("/read", 2))
+            with socket.socket(fileno=os.dup(idle.writer.get_extra_info("socket").fileno())) as own:
+                own.sendall(ask("/read", 3))  # at once, before the loop could read it
+            monkeypatch.setattr(net_callers, "HASTE_S", 0.0)
+            monkeypatch.setattr(net_callers, "IDLE_S", 0.0)
+            callers._way_made = -1.0
+            assert not callers._accept()  # it looks for room now
+            let.set()
+            assert status(await idle.answer()) == 200
+            for client in (fresh, waiting):
+                client.setblocking(False)
+                assert (await loop.sock_recv(client, 65_536)).startswith(b"HTTP/1.1 200 ")
+
+    run(scenario())
