Give peers that send a byte at a time their error also while the loop is busy

Cause: a look at an overdue connection puts the end off while the kernel holds something unread, so that a request that has come is read first. While the loop is busy a byte a moment is unread at every look, and the peer was never ended, though an error is owed within 3 s.

The test has a byte come before every look: it waited for ever before (10 s), and gets its 408 within four looks now. test_moments, test_bad_callers, test_net: 115 passed.

--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -227,6 +227,7 @@
         self._linger: asyncio.TimerHandle | None = None
         self.started = self.idle_since = connected
         self.asked = False  # whether a whole request ever came
+        self._read_at = -math.inf  # when something of a request was last read
 
     # ---- the parser's callbacks -------------------------------------------------------------
 
@@ -294,9 +295,10 @@
             if self._dropped > LINGER_BYTES and self._transport and not self._lost:
                 self._transport.pause_reading()
             return
+        self._read_at = time.monotonic()
         if not self._reading and not self._unread:
             self._reading = True
-            self.started = self.started if not self.asked else time.monotonic()
+            self.started = self.started if not self.asked else self._read_at
         self._unread = self._unread + data if self._unread else data
         self._read()
 
@@ -407,14 +409,18 @@
         """End it if it has made us wait for a whole request for so long; false if there is no reason to.
 
         Guards against callers that say nothing, never come to an end, or ask once and stay. A request
-        that has come and is not read yet is not lost: it is looked for first.
+        that has come and is not read yet is not lost: it is looked for first, and read once its time is up.
         """
         if self._transport is None or self._deaf or self._lost:
             return False
         if self._blocked and self.has_left():
             return False  # with reading paused nothing else would tell
         if self.is_half():
-            if now - self.started < half_s or peek(self._transport):
+            if now - self.started < half_s:
+                return False
+            # Guards against who sends a byte at a time: while the loop is busy each look finds one unread.
+            was_read = self._read_at >= self.started + SILENT_S + SWEEP_S
+            if not was_read and peek(self._transport):
                 return False
             if self._raw or self._unread:
                 self._turn_away(408, "the request did not come to its end")
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -211,6 +211,31 @@
     run(scenario())
 
 
+def test_who_sends_a_byte_at_a_time_to_a_busy_loop_gets_its_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each look found a byte that was not read yet, and put the end off."""
+    monkeypatch.setattr(net_callers, "SILENT_S", 0.05)
+    monkeypatch.setattr(net_callers, "SWEEP_S", 0.01)
+
+    async def scenario() -> None:
+        enough, looks = CallerConnection.enough, list[float]()
+        async with Rig(Upstream()) as rig:
+            peer = client_of(rig)
+            peer.sendall(b"GET /read?")
+
+            def byte_before(connection: CallerConnection, now: float, *spans: float) -> bool:
+                if now - connection.started >= net_callers.SILENT_S and not connection._deaf:
+                    looks.append(now)
+                    peer.send(b"x")
+                return enough(connection, now, *spans)
+
+            monkeypatch.setattr(CallerConnection, "enough", byte_before)
+            peer.setblocking(False)
+            answer = await asyncio.get_running_loop().sock_recv(peer, 65_536)
+            assert answer.startswith(b"HTTP/1.1 408 ") and len(looks) <= 4
+
+    run(scenario())
+
+
 def test_the_rest_of_a_request_that_is_there_at_the_last_look_is_read(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
