--- a/basaltspindle/net/callers.py
+++ b/basaltspindle/net/callers.py
@@ -49,6 +49,7 @@
 FRESH_S = 0.1  # a connection is opened for a request, which follows
 TERM_ACCEPT_S = 0.5  # new connections go on coming for a while after SIGTERM
 TERM_STAY_S = 1.5  # so long after it callers may use those they have: another balancer may not be back yet
+LAST_TURNS, LAST_TURN_S = 5, 0.01  # of the loop, once the wait after SIGTERM is over
 _UNIT_MS = {b"m": 1.0, b"u": 0.001}
 _SPAN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,9})?)([mu])")
 _NUMBER = re.compile(rb"[0-9]{1,12}(?:\.[0-9]{1,9})?")
@@ -226,6 +227,7 @@
         self._linger: asyncio.TimerHandle | None = None
         self.started = self.idle_since = connected
         self.asked = False  # whether a whole request ever came
+        self._read_at = -math.inf  # when something of a request was last read
 
     # ---- the parser's callbacks -------------------------------------------------------------
 
@@ -293,9 +295,10 @@
             if self._dropped > LINGER_BYTES and self._transport and not self._lost:
                 self._transport.pause_reading()
             return
+        self._read_at = time.monotonic()
         if not self._reading and not self._unread:
             self._reading = True
-            self.started = self.started if not self.asked else time.monotonic()
+            self.started = self.started if not self.asked else self._read_at
         self._unread = self._unread + data if self._unread else data
         self._read()
 
@@ -406,14 +409,18 @@
         """End it if it has made us wait for a whole request for so long; false if there is no reason to.
 
         Guards against callers that say nothing, never come to an end, or ask once and stay. A request
-        that has come and is not read yet is not lost: it is looked for first.
+        that has come and is not read yet is not lost: it is looked for first, and read once its time is up.
         """
         if self._transport is None or self._deaf or self._lost:
             return False
         if self._blocked and self.has_left():
             return False  # with reading paused nothing else would tell
         if self.is_half():
-            if now - self.started < half_s or peek(self._transport):
+            if now - self.started < half_s:
+                return False
+            # Guards against who sends a byte at a time: while the loop is busy each look finds one unread.
+            was_read = self._read_at >= self.started + SILENT_S + SWEEP_S
+            if not was_read and peek(self._transport):
                 return False
             if self._raw or self._unread:
                 self._turn_away(408, "the request did not come to its end")
@@ -644,4 +651,7 @@
             await asyncio.sleep(0.01)
         if self._connections:
             self.desk.close()
-            await asyncio.sleep(ACCEPT_PAUSE_S)
+            # Guards against a busy loop, which uses up any pause: what was accepted just before is set up,
+            # read and answered within some turns.
+            for _ in range(LAST_TURNS):
+                await asyncio.sleep(LAST_TURN_S)
