--- a/testbed/runs/__init__.py
+++ b/testbed/runs/__init__.py
@@ -3,5 +3,8 @@
 from __future__ import annotations
 
 from testbed.experiment import Run
+from testbed.runs import depth
 
-RUNS: dict[str, Run] = {}
+RUNS: dict[str, Run] = {
+    "depth": Run(depth.Plan, depth.play),
+}
