--- a/testbed/runs/depth.py
+++ b/testbed/runs/depth.py
@@ -159,6 +159,7 @@
         whole = chain.clock.run(plan.events_most)
         calls = chain.calls if whole else [c for c in chain.calls if c.status]
         struck = [c for c in chain.calls if c.phase == WHILE]
+        admitted = sum(c.tried for c in struck)
         counts = chain.attempts.get(WHILE, [0] * chain.shape.depth)
         phases = [[c for c in calls if c.phase == phase] for phase in (BEFORE, WHILE, AFTER)]
         windows = self._windows(phases[AFTER]) if plan.after_s else []
@@ -178,6 +179,7 @@
             "back_after_s": _back_after(windows, former),
             "shed_while": _part(phases[WHILE], [c.status == 503 and not c.tried for c in phases[WHILE]]),
             "bottom_attempts_a_call": counts[-1] / len(struck) if struck else None,
+            "bottom_attempts_an_admitted": counts[-1] / admitted if admitted else None,
             "bottom_attempts_most": max((c.bottom for c in struck), default=0),
             "attempts_a_call_by_tier": [round(n / len(struck), 4) if struck else None for n in counts],
             "turned_away_full": sum(s.rejected for tier in chain.tiers for s in tier),
@@ -218,18 +220,18 @@
     return None
 
 
-def _fits(rows: list[dict[str, Any]], trouble: str) -> list[Fit]:
+def _fits(rows: list[dict[str, Any]], trouble: str, column: str) -> list[Fit]:
     """Growth over depth: as a line, an exponential (ln n over depth) and a power (ln n over ln depth)."""
     points = [
-        {"n": row["bottom_attempts_a_call"], "depth": row["depth"], "ln depth": math.log(row["depth"])}
+        {"n": row[column], "depth": row["depth"], "ln depth": math.log(row["depth"])}
         for row in rows
-        if row["trouble"] == trouble and not row["cut_short"] and row["bottom_attempts_a_call"]
+        if row["trouble"] == trouble and not row["cut_short"] and row[column]
     ]
     if len({point["depth"] for point in points}) < 2:
         return []
     for point in points:
         point["ln n"] = math.log(point["n"])
-    name = f"{trouble}: bottom_attempts_a_call"
+    name = f"{trouble}: {column}"
     return [
         replace(fit_line(points, "n", "depth"), y=name),
         replace(fit_line(points, "ln n", "depth"), y=f"ln {name}"),
@@ -254,5 +256,6 @@
                 cut_short=row["cut_short"],
                 machine_s=round(row["machine_s"], 2),
             )
-        findings.fits += _fits(findings.rows, trouble.name)
+        for column in ("bottom_attempts_a_call", "bottom_attempts_an_admitted"):
+            findings.fits += _fits(findings.rows, trouble.name, column)
     return findings
--- /dev/null
+++ b/tests/test_testbed_chain.py
@@ -0,0 +1,343 @@
+"""Chains of modules on a virtual clock: what their host tells and does, and what the depth run counts."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+import structlog
+
+from basaltspindle import interface as face
+from basaltspindle.interface import Action, Effect, Event, Outcome
+from basaltspindle.policy import Balancer
+from testbed.chain import Behaviour, Chain, Shape
+from testbed.runs import depth as depth_run
+
+HOP, SERVICE = 0.25, 1.0  # binary fractions: sums of them are exact
+LOST = [behaviour for behaviour in Behaviour if behaviour is not Behaviour.SERVES]
+Script = Callable[[Event, float], list[Action]]
+
+
+def shape(depth: int, aim: float = 3_000.0, effect: Effect = Effect.SAFE, **changes: Any) -> Shape:
+    base: dict[str, Any] = {
+        "servers_a_tier": 2,
+        "fronts": 1,
+        "hop_ms": HOP,
+        "service_ms": SERVICE,
+        "steady_service": True,
+    }
+    cls = face.RequestClass("call", aim, 3_000.0, effect)
+    return Shape(depth, cls, **(base | changes))
+
+
+class Ears:
+    """Balancers that note what they are told, by the tier they call from; the front's may act by a script."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, front: Script | None = None) -> None:
+        self.heard: list[tuple[int, float, Event]] = []
+        ears = self
+
+        class Listening(Balancer):
+            def __init__(self, settings: face.Settings, seed: int) -> None:
+                super().__init__(settings, seed)
+                self.tier = settings.calling_tier
+
+            def handle(self, event: Event, now: float) -> list[Action]:
+                ears.heard.append((self.tier, now, event))
+                return front(event, now) if front and self.tier == 0 else super().handle(event, now)
+
+        monkeypatch.setattr("testbed.chain.Balancer", Listening)
+
+    def of(self, tier: int, *kinds: type) -> list[tuple[float, Any]]:
+        return [(now, event) for at, now, event in self.heard if at == tier and isinstance(event, kinds)]
+
+
+def play(chain: Chain, events: int = 100_000) -> None:
+    assert chain.clock.run(events)
+
+
+def plan(**changes: Any) -> depth_run.Plan:
+    base: dict[str, Any] = {
+        "run": "depth",
+        "about": "Small ones.",
+        "seed": 1,
+        "sizes": (1, 2),
+        "warm_s": 1,
+        "trouble_s": 1,
+        "troubles": [{"name": "500", "behaviour": "fails"}],
+    }
+    return depth_run.Plan.model_validate(base | changes)
+
+
+def rows(**changes: Any) -> list[dict[str, Any]]:
+    return depth_run.play(plan(**changes), structlog.get_logger()).rows
+
+
+# ---- the host ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "outcome", "after_ms"),
+    [
+        (Behaviour.SERVES, Outcome.SERVED, 2 * HOP + SERVICE),
+        (Behaviour.FAILS, Outcome.ERROR, 2 * HOP + SERVICE),
+        (Behaviour.REFUSES, Outcome.CONNECT_FAILED, HOP),
+        (Behaviour.TURNS_AWAY, Outcome.REJECTED, 2 * HOP),
+        (Behaviour.HANGS, Outcome.TIMED_OUT, 500.0),
+    ],
+)
+def test_each_behaviour_has_its_outcome_and_time(
+    monkeypatch: pytest.MonkeyPatch, behaviour: Behaviour, outcome: Outcome, after_ms: float
+) -> None:
+    ears = Ears(monkeypatch)
+    chain = Chain(shape(1, aim=500.0, attempts_cap=1), 1)
+    assert [e.kind for _, e in ears.of(0, face.ListUpdate)] == [face.ListKind.CACHED, face.ListKind.FULL]
+    chain.behave(1, 2, behaviour)
+    chain.call(0)
+    play(chain)
+    [(at, ended)] = ears.of(0, face.AttemptEnded)
+    served = outcome is Outcome.SERVED
+    assert (ended.outcome, at, ended.answered) == (outcome, after_ms, served)
+    # Nothing is owed after an answer; a class that is safe to repeat is refused, not failed.
+    assert chain.calls[0].status == (200 if served else 503) and chain.calls[0].done == after_ms
+    assert all(front.open == 0 for front in chain.fronts)
+
+
+def test_a_call_that_may_have_run_and_must_not_twice_fails() -> None:
+    chain = Chain(shape(2, effect=Effect.UNSAFE), 1)
+    chain.behave(2, 2, Behaviour.FAILS)
+    chain.call(0)
+    play(chain)
+    assert chain.calls[0].status == 502 and chain.attempts[0] == [1, 1]
+
+
+def test_a_server_fails_if_its_call_fails(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whatever its own balancer says of the call, which here is harmless to repeat."""
+    ears = Ears(monkeypatch)
+    chain = Chain(shape(2, attempts_cap=1), 1)
+    chain.behave(2, 2, Behaviour.TURNS_AWAY)
+    chain.call(0)
+    play(chain)
+    assert [e.outcome for _, e in ears.of(1, face.AttemptEnded)] == [Outcome.REJECTED]
+    assert [e.outcome for _, e in ears.of(0, face.AttemptEnded)] == [Outcome.ERROR]
+
+
+def test_each_tier_gets_the_time_that_remains(monkeypatch: pytest.MonkeyPatch) -> None:
+    ears = Ears(monkeypatch)
+    chain = Chain(shape(4), 1)
+    chain.call(0)
+    play(chain)
+    arrived = [[e.remaining_ms for _, e in ears.of(tier, face.RequestArrived)] for tier in range(4)]
+    # Each balancer keeps 10 ms for its answer; each server has worked 1 ms before it calls.
+    assert arrived == [[2990.0], [2979.0], [2968.0], [2957.0]]
+    assert chain.calls[0].status == 200 and chain.calls[0].done == 4 * (2 * HOP + SERVICE)
+    assert chain.calls[0].deadline_part == pytest.approx(2957 / 3000)
+
+
+def cancelling(at: float) -> Script:
+    """A front that sends a call at once and calls it off at a moment."""
+
+    def act(event: Event, now: float) -> list[Action]:
+        if isinstance(event, face.RequestArrived):
+            return [face.Send(event.request, "t1-0", event.remaining_ms), face.SetTimer(at, "off")]
+        return [face.Cancel(1, 0)] if isinstance(event, face.TimerDue) else []
+
+    return act
+
+
+def test_a_cancelled_call_is_called_off_tier_by_tier(monkeypatch: pytest.MonkeyPatch) -> None:
+    ears = Ears(monkeypatch, cancelling(100.0))
+    chain = Chain(shape(3), 1)
+    chain.behave(3, 2, Behaviour.HANGS)
+    chain.call(0)
+    play(chain)
+    # The connection's end travels one hop to each server, whose balancer then calls off its own call.
+    assert [(now, e.outcome) for now, e in ears.of(0, face.AttemptEnded)] == [(100.0, Outcome.CANCELLED)]
+    for tier, left in ((1, 100.0 + HOP), (2, 100.0 + 2 * HOP)):
+        assert [now for now, _ in ears.of(tier, face.ClientLeft)] == [left]
+        ended = [(now, e.outcome, e.answered) for now, e in ears.of(tier, face.AttemptEnded)]
+        assert ended == [(left, Outcome.CANCELLED, True)]
+    assert [server.busy for tier in chain.tiers for server in tier] == [0] * 6
+
+
+def test_what_must_not_be_cancelled_goes_on_below(monkeypatch: pytest.MonkeyPatch) -> None:
+    ears = Ears(monkeypatch, cancelling(100.0))
+    chain = Chain(shape(3, may_cancel=False), 1)
+    chain.behave(3, 2, Behaviour.HANGS)
+    chain.call(0)
+    play(chain)
+    assert [now for now, _ in ears.of(1, face.ClientLeft)] == [100.0 + HOP]
+    assert ears.of(2, face.ClientLeft) == []
+    # The tier behind gave up by its own time, 500 came up, and nobody owed an answer any more.
+    [(_, ended)] = ears.of(1, face.AttemptEnded)
+    assert ended.outcome is Outcome.ERROR and ended.answered
+
+
+def test_a_call_out_of_time_leaves_the_queue(monkeypatch: pytest.MonkeyPatch) -> None:
+    def act(event: Event, now: float) -> list[Action]:
+        if isinstance(event, face.RequestArrived):
+            return [face.Send(event.request, "t1-0", 0.75 if event.request < 3 else 0.0)]
+        return []
+
+    ears = Ears(monkeypatch, act)
+    chain = Chain(shape(1, workers=1), 1)
+    for _ in range(3):
+        chain.call(0)
+    play(chain)
+    # The first is worked on to its end though nobody waits; the second is not; then comes the third.
+    assert [(e.request, now, e.outcome) for now, e in ears.of(0, face.AttemptEnded)] == [
+        (1, 0.75, Outcome.TIMED_OUT),
+        (2, 0.75, Outcome.TIMED_OUT),
+        (3, 2 * HOP + 2 * SERVICE, Outcome.SERVED),
+    ]
+
+
+def test_a_closed_request_takes_nothing_further(monkeypatch: pytest.MonkeyPatch) -> None:
+    served = 2 * HOP + SERVICE
+
+    def act(event: Event, now: float) -> list[Action]:
+        match event:
+            case face.RequestArrived(number):
+                timers = [face.SetTimer(served - HOP / 2, "second"), face.SetTimer(served + 1.0, "third")]
+                return [face.Send(number, "t1-0", 0.0), *timers]
+            case face.TimerDue("second"):
+                return [face.Send(1, "t1-1", 0.0), face.Send(1, "t1-0", 0.0)]
+            case face.TimerDue("third"):
+                return [face.Send(1, "t1-0", 0.0), face.Send(1, "t1-0", 0.0)]
+            case face.AttemptEnded(attempt=3):
+                return [face.Cancel(1, 4)]  # told only once both of them were carried out
+        return []
+
+    ears = Ears(monkeypatch, act)
+    chain = Chain(shape(1), 1)
+    chain.behave(1, 2, Behaviour.REFUSES)
+    chain.behave(1, 1, Behaviour.SERVES)
+    chain.call(0)
+    play(chain)
+    ended = [(now, e.attempt, e.outcome) for now, e in ears.of(0, face.AttemptEnded)]
+    assert ended == [
+        (served, 0, Outcome.SERVED),
+        (served, 1, Outcome.NOT_SENT),  # its connection had not come up
+        (served + 1.0, 3, Outcome.NOT_SENT),  # decided too late
+        (served + 1.0, 4, Outcome.NOT_SENT),
+        (2 * served - HOP / 2, 2, Outcome.SERVED),
+    ]
+    assert chain.calls[0].status == 200 and chain.attempts[0] == [3]
+
+
+@pytest.mark.parametrize(("sends", "status"), [(False, 503), (True, 502)])
+def test_the_safety_net_answers_before_the_deadline(
+    monkeypatch: pytest.MonkeyPatch, sends: bool, status: int
+) -> None:
+    def lazy(event: Event, now: float) -> list[Action]:
+        if sends and isinstance(event, face.RequestArrived):
+            return [face.SetTimer(now, "late")]
+        return [face.Send(1, "t1-0", 0.0)] if isinstance(event, face.TimerDue) else []
+
+    ears = Ears(monkeypatch, lazy)
+    chain = Chain(shape(1), 1)
+    chain.behave(1, 2, Behaviour.HANGS)
+    chain.call(0)
+    play(chain)
+    assert (chain.calls[0].status, chain.calls[0].done) == (status, 2995.0)
+    assert [now for now, _ in ears.of(0, face.ClientLeft)] == [2995.0]
+
+
+def test_a_full_server_turns_calls_away() -> None:
+    chain = Chain(shape(1, servers_a_tier=1, workers=1, queue=2, attempts_cap=1), 1)
+    for _ in range(4):
+        chain.call(0)
+    play(chain)
+    # One at work, two waiting for their turn, the fourth turned away at once.
+    assert [call.status for call in chain.calls] == [200, 200, 200, 503]
+    assert [call.done for call in chain.calls] == [
+        *(2 * HOP + n * SERVICE for n in (1, 2, 3)),
+        2 * HOP,
+    ]
+    assert chain.tiers[0][0].rejected == 1
+    wide = Chain(shape(1, servers_a_tier=1, workers=0, queue=0, attempts_cap=1), 1)
+    for _ in range(4):
+        wide.call(0)
+    play(wide)
+    assert {call.done for call in wide.calls} == {2 * HOP + SERVICE}
+
+
+# ---- the run -------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("behaviour", [Behaviour.REFUSES, Behaviour.TURNS_AWAY])
+def test_calls_that_never_ran_take_all_attempts_that_the_cap_allows(behaviour: Behaviour) -> None:
+    for cap in (1, 3, 4):
+        chain = Chain(shape(1, servers_a_tier=6, attempts_cap=cap), 1)
+        chain.behave(1, 6, behaviour)
+        for _ in range(5):
+            chain.call(0)
+            play(chain)
+        assert chain.attempts[0] == [5 * cap] and {call.bottom for call in chain.calls} == {cap}
+
+
+def test_the_first_call_at_a_lost_last_tier_multiplies_by_tiers() -> None:
+    troubles = [{"name": "refused", "behaviour": "refuses"}]
+    one, two = rows(single_call=True, deadline_ms=600_000, aim_ms=600_000, troubles=troubles)
+    assert (one["bottom_attempts_a_call"], two["bottom_attempts_a_call"]) == (4, 16)
+    assert one["attempts_a_call_by_tier"] == [4] and two["attempts_a_call_by_tier"] == [4, 16]
+    assert one["served_before"] == two["served_before"] == 1.0 and one["served_while"] == 0.0
+
+
+def without_machine(found: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    return [{name: v for name, v in row.items() if not name.startswith("machine")} for row in found]
+
+
+def test_the_same_seed_gives_the_same_rows() -> None:
+    more: dict[str, Any] = {"sizes": (1, 3), "after_s": 1, "may_duplicate": True}
+    first, again, other = (without_machine(rows(seed=seed, **more)) for seed in (5, 5, 6))
+    assert first == again and first != other
+    assert sum(row["calls"] for row in first) > 400
+
+
+def test_a_run_that_needs_too_many_events_says_so_and_is_not_fitted() -> None:
+    whole = depth_run.play(plan(sizes=(1, 2, 4)), structlog.get_logger())
+    assert not any(row["cut_short"] for row in whole.rows)
+    assert [(fit.x, fit.points) for fit in whole.fits] == [("depth", 3), ("depth", 3), ("ln depth", 3)] * 2
+    most = whole.rows[1]["events"]
+    cut = depth_run.play(plan(sizes=(1, 2, 4), events_most=most), structlog.get_logger())
+    assert [row["cut_short"] for row in cut.rows] == [False, False, True]
+    assert cut.rows[2]["events"] == most and {fit.points for fit in cut.fits} == {2}
+    assert cut.rows[2]["attempts_a_call_by_tier"][0] > 0
+
+
+def test_service_comes_back_with_the_servers() -> None:
+    [row] = rows(
+        sizes=(2,),
+        warm_s=2,
+        trouble_s=2,
+        after_s=12,
+        troubles=[{"name": "turned away", "behaviour": "turns away"}],
+    )
+    assert (row["served_before"], row["served_while"]) == (1.0, 0.0)
+    windows = row["served_after_by_window"]
+    back = round(row["back_after_s"] / 0.5)
+    assert len(windows) == 24 and windows[back - 1] == 1.0 and max(windows[: back - 1], default=0.0) < 1.0
+
+
+@pytest.mark.parametrize(("tier", "struck"), [("first", 1), ("middle", 2), ("bottom", 4)])
+def test_a_trouble_strikes_its_tier_and_number_of_servers(tier: str, struck: int) -> None:
+    trouble = {"name": "one", "behaviour": "refuses", "tier": tier, "servers": 1}
+    one = depth_run.Trouble.model_validate(trouble)
+    assert one.tier_of(4) == struck and one.tier_of(1) == 1
+    [row] = rows(sizes=(4,), troubles=[trouble])
+    by_tier = row["attempts_a_call_by_tier"]
+    # Only there calls need a second attempt, until the lost server is known.
+    assert [n > before for before, n in zip([1.0, *by_tier], by_tier, strict=False)] == [
+        tier == struck for tier in (1, 2, 3, 4)
+    ]
+    assert row["served"] == 1.0
+
+
+def test_a_part_of_calls_fails_at_random_and_refusals_without_attempts_count_as_shed() -> None:
+    part = [{"name": "part", "behaviour": "fails", "part": 0.25}]
+    [row] = rows(sizes=(1,), attempts_cap=1, trouble_s=10, troubles=part)
+    assert 0.70 < row["served_while"] < 0.80 and row["bottom_attempts_a_call"] == 1.0
+    [hung] = rows(sizes=(1,), trouble_s=5, troubles=[{"name": "hang", "behaviour": "hangs"}])
+    assert hung["shed_while"] > 0.5 and hung["served_while"] == 0.0
+    assert hung["bottom_attempts_a_call"] == pytest.approx(1 - hung["shed_while"])
+    assert hung["bottom_attempts_an_admitted"] == 1.0
