--- a/tests/test_testbed_chain.py
+++ b/tests/test_testbed_chain.py
@@ -5,11 +5,13 @@
 
 import pytest
 import structlog
+from structlog.testing import capture_logs
 
 from basaltspindle import interface as face
 from basaltspindle.interface import Action, Effect, Event, Outcome
 from basaltspindle.policy import Balancer
 from testbed.chain import Behaviour, Chain, Shape
+from testbed.results import Findings
 from testbed.runs import depth as depth_run
 
 HOP, SERVICE = 0.25, 1.0  # binary fractions: sums of them are exact
@@ -68,8 +70,13 @@
     return depth_run.Plan.model_validate(base | changes)
 
 
+def found(**changes: Any) -> Findings:
+    with capture_logs():  # the command line's tests leave a log on a stream of theirs
+        return depth_run.play(plan(**changes), structlog.get_logger())
+
+
 def rows(**changes: Any) -> list[dict[str, Any]]:
-    return depth_run.play(plan(**changes), structlog.get_logger()).rows
+    return found(**changes).rows
 
 
 # ---- the host ------------------------------------------------------------------------------------
@@ -283,8 +290,8 @@
     assert one["served_before"] == two["served_before"] == 1.0 and one["served_while"] == 0.0
 
 
-def without_machine(found: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    return [{name: v for name, v in row.items() if not name.startswith("machine")} for row in found]
+def without_machine(played: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    return [{name: v for name, v in row.items() if not name.startswith("machine")} for row in played]
 
 
 def test_the_same_seed_gives_the_same_rows() -> None:
@@ -295,11 +302,11 @@
 
 
 def test_a_run_that_needs_too_many_events_says_so_and_is_not_fitted() -> None:
-    whole = depth_run.play(plan(sizes=(1, 2, 4)), structlog.get_logger())
+    whole = found(sizes=(1, 2, 4))
     assert not any(row["cut_short"] for row in whole.rows)
     assert [(fit.x, fit.points) for fit in whole.fits] == [("depth", 3), ("depth", 3), ("ln depth", 3)] * 2
     most = whole.rows[1]["events"]
-    cut = depth_run.play(plan(sizes=(1, 2, 4), events_most=most), structlog.get_logger())
+    cut = found(sizes=(1, 2, 4), events_most=most)
     assert [row["cut_short"] for row in cut.rows] == [False, False, True]
     assert cut.rows[2]["events"] == most and {fit.points for fit in cut.fits} == {2}
     assert cut.rows[2]["attempts_a_call_by_tier"][0] > 0
