Measure what a list's length costs a balancer

Cause: nobody knew which costs follow the list's length at the 7,000 entries that a balancer is to hold. Change: the run list_size times decisions, a change of one entry and a whole list by their parts with the real module and pools' books, at five lengths, kept in part and in all, and reads bytes and memory; slopes with their errors.

--- a/testbed/runs/__init__.py
+++ b/testbed/runs/__init__.py
@@ -3,5 +3,8 @@
 from __future__ import annotations
 
 from testbed.experiment import Run
+from testbed.runs import list_size
 
-RUNS: dict[str, Run] = {}
+RUNS: dict[str, Run] = {
+    "list_size": Run(list_size.Plan, list_size.play),
+}
--- a/tests/test_testbed_core.py
+++ b/tests/test_testbed_core.py
@@ -13,13 +13,16 @@
 
 import psutil
 import pytest
+from structlog import get_logger
 
 from basaltspindle.interface import Effect
 from basaltspindle.net import discovery as client
 from basaltspindle.net.config import read_config
 from testbed.discovery import Counts, Discovery, Mode, State, play, restarts, single_changes, times
+from testbed.experiment import FOLDER, read_plan
 from testbed.hollow import Hollow, HollowProcess
 from testbed.meter import CoresWatch, LoopLag, processor_s, usage
+from testbed.runs import RUNS, list_size
 from testbed.settings import Address, Entry, config, entry, fleet, site
 from tests.loopback import Asked, read_message, run
 
@@ -458,3 +461,42 @@
     assert lag.take() == (0.0, 0.0)
     lag.stop()
     assert calls == []
+
+
+# ---- runs -----------------------------------------------------------------------------------------
+
+
+def test_the_run_on_list_sizes_measures_every_part_at_every_size() -> None:
+    plan = read_plan(FOLDER / "list_size.toml", RUNS)
+    small = {"sizes": (6, 40), "warm_calls": 20, "calls": 30, "deltas": 3, "lists": 2}
+    findings = list_size.play(list_size.Plan.model_validate(plan.model_dump() | small), get_logger())
+    lists = [row for row in findings.rows if row["measured"] == "list"]
+    decisions = [row for row in findings.rows if row["measured"] == "decision"]
+    assert [(row["entries"], row["keeps"]) for row in lists] == [
+        (entries, keeps) for entries in (6, 40) for keeps in ("part", "all")
+    ]
+    assert len(decisions) == 8 and {row["shed"] for row in decisions} == {0}
+    for row in lists:
+        discovery = Discovery()
+        discovery.set(fleet(row["entries"], seed=plan.seed))
+        assert row["list_bytes"] == len(discovery.body(-1)[0])
+        parts = sum(row[f"list_{part}_ms"] for part in ("parse", "read", "pools", "module"))
+        assert 0 < row["list_module_ms"] < parts and 0 < row["delta_module_us"] < row["delta_whole_us_99"]
+        assert row["memory_kib"] > row["entries"] / 4  # 256 bytes an entry hold less than its strings
+    slopes = {fit.y: fit for fit in findings.fits}
+    assert slopes["list_bytes (all)"].slope == pytest.approx(
+        (lists[3]["list_bytes"] - lists[1]["list_bytes"]) / 34
+    )
+    for keeps in ("part", "all"):
+        assert {f"arrival_us_mean ({keeps}, tier {tier})" for tier in (0, 1)} <= slopes.keys()
+    assert all("list_module_ms_growth" in row for row in lists[2:])
+
+
+def test_growth_is_the_power_of_the_length_between_two_sizes() -> None:
+    cell = {"measured": "list", "keeps": "all", "tier": 0}
+    rows: list[dict[str, Any]] = [
+        cell | {"entries": n, "list_module_ms": ms} for n, ms in ((10, 1.0), (100, 1.0), (1000, 100.0))
+    ]
+    list_size._add_growth(rows)
+    assert "list_module_ms_growth" not in rows[0]
+    assert [row["list_module_ms_growth"] for row in rows[1:]] == pytest.approx([0.0, 2.0])
