Measure what following the list costs a balancer, and how soon a change is in force

Cause: the users ask for changes in force everywhere within 3 s and for little processor, memory and bytes spent on control; neither could be seen. Change: the run control_rest watches real balancers at rest under lists of five lengths, pushed and asked for; control_change plays 1 to 100 times the ordinary rate of changes at up to 300 hollow balancers and three real ones, and notes when each change is in force, processor time, calls and bytes. Full cores and late loops are doubts.

--- a/testbed/runs/__init__.py
+++ b/testbed/runs/__init__.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from testbed.experiment import Run
-from testbed.runs import list_size
+from testbed.runs import control, list_size
 
 RUNS: dict[str, Run] = {
+    "control_change": Run(control.ChangePlan, control.play_change),
+    "control_rest": Run(control.RestPlan, control.play_rest),
     "list_size": Run(list_size.Plan, list_size.play),
 }
--- a/tests/test_testbed_core.py
+++ b/tests/test_testbed_core.py
@@ -11,6 +11,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import numpy as np
 import psutil
 import pytest
 from structlog import get_logger
@@ -22,7 +23,7 @@
 from testbed.experiment import FOLDER, read_plan
 from testbed.hollow import Hollow, HollowProcess
 from testbed.meter import CoresWatch, LoopLag, processor_s, usage
-from testbed.runs import RUNS, list_size
+from testbed.runs import RUNS, control, list_size
 from testbed.settings import Address, Entry, config, entry, fleet, site
 from tests.loopback import Asked, read_message, run
 
@@ -500,3 +501,42 @@
     list_size._add_growth(rows)
     assert "list_module_ms_growth" not in rows[0]
     assert [row["list_module_ms_growth"] for row in rows[1:]] == pytest.approx([0.0, 2.0])
+
+
+def test_a_change_is_at_a_balancer_with_the_first_version_as_new() -> None:
+    # Versions 5, 6 and 7; balancer 1 hears of 5 and 6 at once, balancer 2 never of 7.
+    notes = [(1, 4, 9.0), (1, 6, 11.0), (2, 5, 10.5), (1, 7, 13.0), (2, 6, 12.0), (3, 7, 1.0)]
+    delays = control._delays(notes, range(1, 3), 5, np.array([10.0, 10.5, 12.0]))
+    assert delays.tolist() == [[1000.0, 500.0, 1000.0], [500.0, 1500.0, np.inf]]
+    assert control._spread("ms", delays[:1]) == pytest.approx(
+        {"ms_median": 1000.0, "ms_99": 1000.0, "ms_longest": 1000.0}
+    )
+    assert control._spread("ms", np.empty((0, 3))) == {"ms_median": None, "ms_99": None, "ms_longest": None}
+
+
+def test_the_run_under_change_sees_every_change_at_every_balancer() -> None:
+    plan = read_plan(FOLDER / "control_change.toml", RUNS)
+    small: dict[str, Any] = {"sizes": (1, 3), "entries": 30, "multiples": (200.0, 400.0)}
+    small |= {"spans_s": (0.1, 0.1), "processes": 2, "real": 1}
+    findings = control.play_change(control.ChangePlan.model_validate(plan.model_dump() | small), get_logger())
+    assert [(row["balancers"], row["multiple"]) for row in findings.rows] == [
+        (balancers, multiple) for balancers in (1, 3) for multiple in (200.0, 400.0)
+    ]
+    for row in findings.rows:
+        assert row["changes"] > 0
+        for told in ("in_force_ms", "taken_up_ms", "real_taken_up_ms"):
+            assert 0 < row[f"{told}_median"] <= row[f"{told}_longest"] < float("inf")
+        assert row["in_force_ms_median"] <= row["everywhere_ms_median"] <= row["in_force_ms_longest"]
+        assert row["core_percent"] > 0 and row["real_core_percent"] > 0 and row["bytes_per_s"] > 0
+    assert {"in_force_ms_99 (200 times)", "core_percent (3 balancers)"} <= {fit.y for fit in findings.fits}
+
+
+def test_the_run_at_rest_watches_a_real_balancer_of_each_size() -> None:
+    plan = read_plan(FOLDER / "control_rest.toml", RUNS)
+    small = {"sizes": (3, 30), "span_s": 0.05, "settle_s": 0.0, "hollow": 2}
+    findings = control.play_rest(control.RestPlan.model_validate(plan.model_dump() | small), get_logger())
+    assert [(row["entries"], row["mode"]) for row in findings.rows] == [
+        (entries, mode) for mode in ("push", "ask") for entries in (3, 30)
+    ]
+    assert all(row["resident_mib"] > 5 and row["descriptors"] > 5 for row in findings.rows)
+    assert {"resident_mib (push)", "bytes_per_s (ask)"} <= {fit.y for fit in findings.fits}
