--- a/testbed/runs/control.py
+++ b/testbed/runs/control.py
@@ -285,8 +285,8 @@
 ) -> dict[str, Any]:
     """Play changes at one rate and see them taken up; one row.
 
-    Times are milliseconds from the list's change in the stand-in: until the module of a hollow balancer has it
-    (`in_force`), until the next watch call says so (`taken_up`, also of real ones), until the stand-in has
+    Times are milliseconds from the list's change in the stand-in: until the module of a hollow balancer has
+    it (`in_force`), until the next watch call says so (`taken_up`, also of real ones), until the stand-in has
     written it to all (`written`). Hollow balancers of a process take a change up one after another, so theirs
     are upper bounds. `core_percent` is that of a hollow balancer with its part of the process's own watch on
     its loop (under 1 % of a core a process); its slope over the rate is free of that.
