Count only rounds beside a quick core in the run on list sizes

Cause: played under the lock, the run doubted itself: its fixed piece of work took up to 1.72 times as long in some cells. Looked at for 5 s it takes 46 to 50 us or 90 to 99 us and little between: a core's busy sibling halves it.

--- a/testbed/runs/list_size.py
+++ b/testbed/runs/list_size.py
@@ -3,9 +3,8 @@
 In-process, with the real module and the real pools' books on a virtual clock. Each size is played with as
 many balancers as servers (each then keeps to a part of them) and as the only balancer (it keeps to all).
 
-A core's speed varies with what its neighbours do. So every cell is played in several rounds, each beside a
-fixed piece of work, and the round in which that took least is kept; where it still differs much between
-cells, the run says so.
+A core's speed varies with its neighbours: a busy sibling nearly halves it. So every cell is played in short
+rounds, each between two of a fixed piece of work, the reference; only rounds beside a quick reference count.
 """
 
 from __future__ import annotations
@@ -20,9 +19,8 @@
 import tracemalloc
 from collections.abc import Callable
 from dataclasses import replace
-from functools import partial
 from itertools import pairwise
-from typing import Annotated, Any
+from typing import Annotated, Any, Protocol
 
 import numpy as np
 from pydantic import Field
@@ -39,8 +37,9 @@
 from testbed.results import Findings, fit_line
 
 KEEPS = {"part": "as many balancers as servers", "all": "one balancer"}
-REFERENCE_TIMES = 50
-UNEVEN = 1.5  # times: slopes over sizes are steeper than what a core's speed then adds
+REFERENCE_TIMES = 20
+REFERENCES = 100  # at the start, to know how quick a core is that is left alone
+QUICK = 1.25  # times the least reference: a busy sibling makes it nearly twice
 _BEGIN_MS = 1_000_000.0
 _ATTEMPT = 0
 _US, _MS = 1e3, 1e6  # nanoseconds
@@ -59,28 +58,47 @@
     warm_calls: Annotated[int, Field(ge=0)]
     """Calls before those that are measured."""
     calls: Annotated[int, Field(gt=0)]
-    """Calls that are measured."""
+    """Calls in a round."""
     deltas: Annotated[int, Field(gt=0)]
-    """Changes of one entry that are measured."""
+    """Changes of one entry in a round."""
     lists: Annotated[int, Field(gt=0)]
-    """Whole lists that are measured."""
+    """Whole lists in a round."""
     rounds: Annotated[int, Field(gt=0)]
-    """How often everything is measured; of each cell the round with the quickest core is kept."""
+    """Rounds of each cell that have to be quick."""
+    rounds_most: Annotated[int, Field(gt=0)]
+    """Rounds of each cell that are played at the most to get them."""
+
+
+Spans = dict[str, list[float]]
+"""Nanoseconds by what took them, and other figures of a round by name."""
+
+
+class Cell(Protocol):
+    """One size, kept in part or in all, of which rounds are played; `name` holds the columns that name it."""
+
+    name: dict[str, Any]
+
+    def play(self) -> Spans:
+        """One round."""
+
+    def row(self, spans: Spans) -> dict[str, Any]:
+        """The row that the rounds together make."""
 
 
 def play(plan: Plan, log: FilteringBoundLogger) -> Findings:
     """Measure every size, kept in part and in all, at every tier."""
     findings, watch = Findings(), CoresWatch()
-    kept: dict[tuple[Any, ...], dict[str, Any]] = {}
-    for _ in range(plan.rounds):
-        for entries in plan.sizes:
-            for keep in KEEPS:
-                decisions = [partial(_decisions, plan, entries, keep, tier) for tier in plan.tiers]
-                for measure in (*decisions, partial(_lists, plan, entries, keep)):
-                    _keep_quickest(kept, _beside_reference(measure))
-                    log.info("measured", entries=entries, keeps=keep)
-    findings.rows = list(kept.values())
-    findings.doubts += watch.doubts("whole run") + _uneven(findings.rows)
+    rounds = Rounds(plan.rounds, plan.rounds_most, _reference_us)
+    for entries in plan.sizes:
+        for keep in KEEPS:
+            for tier in plan.tiers:
+                rounds.play(_Decisions(plan, entries, keep, tier))
+            rounds.play(_Lists(plan, entries, keep))
+            log.info("measured", entries=entries, keeps=keep)
+    findings.rows, uneven = rounds.rows()
+    findings.doubts += watch.doubts("whole run") + uneven
+    if uneven:
+        return findings
     _add_growth(findings.rows)
     for keep in KEEPS:
         for tier in plan.tiers:
@@ -104,25 +122,45 @@
     return float(np.median(spans)) / _US
 
 
-def _beside_reference(measure: Callable[[], dict[str, Any]]) -> dict[str, Any]:
-    """A cell's row, with the longer of the reference's times before and after it."""
-    before = _reference_us()
-    row = measure()
-    return row | {"reference_us": max(before, _reference_us())}
-
-
-def _keep_quickest(kept: dict[tuple[Any, ...], dict[str, Any]], row: dict[str, Any]) -> None:
-    """Of the rows of one cell, the one beside which the reference took least."""
-    cell = row["measured"], row["entries"], row["keeps"], row["tier"]
-    if cell not in kept or row["reference_us"] < kept[cell]["reference_us"]:
-        kept[cell] = row
-
-
-def _uneven(rows: list[dict[str, Any]]) -> list[str]:
-    """A doubt where the reference differs much between the rows: so may what is beside it."""
-    spans = [row["reference_us"] for row in rows]
-    spread = max(spans) / min(spans)
-    return [f"a fixed piece of work took up to {spread:.2f} times as long"] if spread >= UNEVEN else []
+class Rounds:
+    """Plays cells in rounds, and counts those beside a quick reference; `reference` gives microseconds."""
+
+    def __init__(self, enough: int, most: int, reference: Callable[[], float]) -> None:
+        self._enough, self._most, self._reference = enough, most, reference
+        self._played: list[tuple[Cell, list[tuple[float, Spans]]]] = []
+        self._least = min([reference() for _ in range(REFERENCES)])
+
+    def _is_quick(self, reference_us: float) -> bool:
+        return reference_us <= QUICK * self._least
+
+    def play(self, cell: Cell) -> None:
+        """Play rounds until enough were quick, as far as is known by now, or the most were played."""
+        played: list[tuple[float, Spans]] = []
+        before = self._reference()
+        while len(played) < self._most and sum(self._is_quick(r) for r, _ in played) < self._enough:
+            spans = cell.play()
+            after = self._reference()
+            self._least = min(self._least, after)
+            played.append((max(before, after), spans))
+            before = after
+        self._played.append((cell, played))
+
+    def rows(self) -> tuple[list[dict[str, Any]], list[str]]:
+        """The rows of the quick rounds, and a doubt for each cell that has none."""
+        rows, doubts = [], []
+        for cell, played in self._played:
+            quick = [(reference, spans) for reference, spans in played if self._is_quick(reference)]
+            if not quick:
+                doubts.append(f"{cell.name}: none of {len(played)} rounds was quick")
+                continue
+            together: Spans = {name: [] for name in quick[0][1]}
+            for _, spans in quick:
+                for name, values in spans.items():
+                    together[name] += values
+            row = cell.row(together)
+            longest = max(reference for reference, _ in quick)
+            rows.append(row | {"rounds": len(quick), "rounds_played": len(played), "reference_us": longest})
+        return rows, doubts
 
 
 def _cell(findings: Findings, **where: Any) -> list[dict[str, Any]]:
@@ -167,100 +205,129 @@
 # ---- decisions ------------------------------------------------------------------------------------
 
 
-def _decisions(plan: Plan, entries: int, keep: str, tier: int) -> dict[str, Any]:
-    """One row: microseconds of an arrival and of a served attempt's end, on a warm module."""
-    config = _config(plan, entries, keep, tier)
-    balancer = Balancer(config.settings, config.seed)
-    members = tuple([e.member for e in config.known.endpoints])
-    balancer.handle(face.ListUpdate(face.ListKind.CACHED, members), _BEGIN_MS)
-    _frozen()
-    chance, classes = random.Random(plan.seed), config.settings.classes
-    ends: list[tuple[float, int, str]] = []
-    arrival_ns: list[int] = []
-    end_ns: list[int] = []
-    called: set[str] = set()
-    now, shed = _BEGIN_MS, 0
-    for number in range(plan.warm_calls + plan.calls):
-        if number == plan.warm_calls:
-            arrival_ns.clear()
-            end_ns.clear()
-            shed = 0
-        now += chance.expovariate(plan.calls_per_s / 1000)
-        while ends and ends[0][0] <= now:
-            at, request, server = heapq.heappop(ends)
-            ended = face.AttemptEnded(request, _ATTEMPT, server, face.Outcome.SERVED, True)
+class _Decisions:
+    """Arrivals and served attempts' ends on a warm module under a steady light load."""
+
+    def __init__(self, plan: Plan, entries: int, keep: str, tier: int) -> None:
+        self._plan = plan
+        self.name = {"measured": "decision", "entries": entries, "keeps": keep, "tier": tier}
+        config = _config(plan, entries, keep, tier)
+        self._classes = config.settings.classes
+        self._balancer = Balancer(config.settings, config.seed)
+        self._chance, self._now, self._last = random.Random(plan.seed), _BEGIN_MS, 0
+        self._ends: list[tuple[float, int, str]] = []
+        self._called: set[str] = set()
+        members = tuple([e.member for e in config.known.endpoints])
+        self._balancer.handle(face.ListUpdate(face.ListKind.CACHED, members), self._now)
+        _frozen()
+        self._calls(plan.warm_calls)
+
+    def play(self) -> Spans:
+        """So many calls; nanoseconds of each arrival and end, and whether it was shed."""
+        return self._calls(self._plan.calls)
+
+    def _calls(self, calls: int) -> Spans:
+        spans: Spans = {"arrival": [], "end": [], "shed": []}
+        for _ in range(calls):
+            self._now += self._chance.expovariate(self._plan.calls_per_s / 1000)
+            while self._ends and self._ends[0][0] <= self._now:
+                at, request, server = heapq.heappop(self._ends)
+                ended = face.AttemptEnded(request, _ATTEMPT, server, face.Outcome.SERVED, True)
+                began = time.perf_counter_ns()
+                self._balancer.handle(ended, at)
+                spans["end"].append(time.perf_counter_ns() - began)
+            self._last += 1
+            cls = self._classes[self._last % len(self._classes)]
+            arrived = face.RequestArrived(self._last, cls.name, cls.deadline_ms)
             began = time.perf_counter_ns()
-            balancer.handle(ended, at)
-            end_ns.append(time.perf_counter_ns() - began)
-        cls = classes[number % len(classes)]
-        arrived = face.RequestArrived(number, cls.name, cls.deadline_ms)
-        began = time.perf_counter_ns()
-        actions = balancer.handle(arrived, now)
-        arrival_ns.append(time.perf_counter_ns() - began)
-        sends = [a for a in actions if isinstance(a, face.Send)]
-        shed += not sends
-        for send in sends:
-            takes = chance.expovariate(1 / plan.service_ms)
-            called.add(send.server)
-            heapq.heappush(ends, (now + min(takes, send.timeout_ms / 2), number, send.server))
-    row: dict[str, Any] = {"measured": "decision", "entries": entries, "keeps": keep, "tier": tier}
-    for name, spans in (("arrival", arrival_ns), ("end", end_ns)):
-        row[f"{name}_us_median"] = float(np.median(spans)) / _US
-        row[f"{name}_us_mean"] = float(np.mean(spans)) / _US
-        row[f"{name}_us_99"] = float(np.percentile(spans, 99)) / _US
-    return row | {"calls": len(arrival_ns), "shed": shed, "servers_called": len(called)}
+            actions = self._balancer.handle(arrived, self._now)
+            spans["arrival"].append(time.perf_counter_ns() - began)
+            sends = [a for a in actions if isinstance(a, face.Send)]
+            spans["shed"].append(not sends)
+            for send in sends:
+                takes = self._chance.expovariate(1 / self._plan.service_ms)
+                self._called.add(send.server)
+                ends = self._now + min(takes, send.timeout_ms / 2)
+                heapq.heappush(self._ends, (ends, self._last, send.server))
+        return spans
+
+    def row(self, spans: Spans) -> dict[str, Any]:
+        """Medians, means and 99ths in microseconds; the servers called include those while it got warm."""
+        row: dict[str, Any] = dict(self.name)
+        for name in ("arrival", "end"):
+            row[f"{name}_us_median"] = float(np.median(spans[name])) / _US
+            row[f"{name}_us_mean"] = float(np.mean(spans[name])) / _US
+            row[f"{name}_us_99"] = float(np.percentile(spans[name], 99)) / _US
+        calls = {"calls": len(spans["arrival"]), "shed": int(sum(spans["shed"]))}
+        return row | calls | {"servers_called": len(self._called)}
 
 
 # ---- lists ----------------------------------------------------------------------------------------
 
-
-def _lists(plan: Plan, entries: int, keep: str) -> dict[str, Any]:
-    """One row: a change of one entry and a whole list by their parts (medians), bytes and memory."""
-    config = _config(plan, entries, keep, 0)
-    loop = asyncio.new_event_loop()
-    balancer, upstreams = Balancer(config.settings, config.seed), Upstreams(config, loop)
-    discovery, now = Discovery(), _BEGIN_MS
-    fleet = settings.fleet(entries, seed=plan.seed)
-    discovery.set(fleet)
-    _frozen()
-    row: dict[str, Any] = {"measured": "list", "entries": entries, "keeps": keep, "tier": 0}
-
-    def take_up(body: bytes) -> list[int]:
-        """The nanoseconds of JSON, of `read_list`, of the pools' books and of the module."""
+_PARTS = ("parse", "read", "pools", "module")
+
+
+class _Lists:
+    """Whole lists and changes of one entry: JSON, `read_list`, the pools' books and the module."""
+
+    def __init__(self, plan: Plan, entries: int, keep: str) -> None:
+        self._plan = plan
+        self.name = {"measured": "list", "entries": entries, "keeps": keep, "tier": 0}
+        self._text = _config_text(plan, entries, keep, 0)
+        config = read_config(self._text, _ignore)
+        loop = asyncio.new_event_loop()
+        self._balancer, self._upstreams = Balancer(config.settings, config.seed), Upstreams(config, loop)
+        loop.close()  # books need none
+        self._fleet = settings.fleet(entries, seed=plan.seed)
+        self._discovery, self._now, self._turn = Discovery(), _BEGIN_MS, 0
+        self._discovery.set(self._fleet)
+        self._take_up(self._discovery.body(-1)[0])  # the first list makes what later ones find
+        self._list_bytes = self._delta_bytes = len(self._discovery.body(-1)[0])
+        _frozen()
+
+    def _take_up(self, body: bytes) -> list[int]:
+        """The nanoseconds of each part."""
+        self._now += 1000.0
         marks = [time.perf_counter_ns()]
         raw = json.loads(body)
         marks.append(time.perf_counter_ns())
         news = read_list(raw)
         marks.append(time.perf_counter_ns())
-        upstreams.listed(news)
+        self._upstreams.listed(news)
         marks.append(time.perf_counter_ns())
         kind = face.ListKind.FULL if news.whole else face.ListKind.DELTA
-        balancer.handle(face.ListUpdate(kind, tuple([e.member for e in news.endpoints])), now)
+        members = tuple([e.member for e in news.endpoints])
+        self._balancer.handle(face.ListUpdate(kind, members), self._now)
         marks.append(time.perf_counter_ns())
         return [after - before for before, after in pairwise(marks)]
 
-    body, _, _ = discovery.body(-1)
-    row["list_bytes"] = len(body)
-    whole = [take_up(body) for _ in range(plan.lists + 1)][1:]  # the first makes what later ones find
-    for name, spans in zip(("parse", "read", "pools", "module"), zip(*whole, strict=True), strict=True):
-        row[f"list_{name}_ms"] = float(np.median(spans)) / _MS
-    row["list_whole_ms"] = float(np.median([sum(spans) for spans in whole])) / _MS
-    deltas = []
-    for i in range(plan.deltas):
-        index = discovery.index
-        old = fleet[i % entries]
-        discovery.change([old | {"weight": 3.0 + i}])
-        body, _, _ = discovery.body(index)
-        now += 1000.0
-        deltas.append(take_up(body))
-    row["delta_bytes"] = len(body)
-    for name, spans in zip(("parse", "read", "pools", "module"), zip(*deltas, strict=True), strict=True):
-        row[f"delta_{name}_us"] = float(np.median(spans)) / _US
-    row["delta_whole_us"] = float(np.median([sum(spans) for spans in deltas])) / _US
-    row["delta_whole_us_99"] = float(np.percentile([sum(spans) for spans in deltas], 99)) / _US
-    loop.close()
-    row["memory_kib"] = _memory(_config_text(plan, entries, keep, 0)) / 1024
-    return row
+    def play(self) -> Spans:
+        """So many whole lists, then so many changes; nanoseconds by part and in all."""
+        spans: Spans = {f"{what}_{part}": [] for what in ("list", "delta") for part in (*_PARTS, "whole")}
+        for _ in range(self._plan.lists):
+            self._note(spans, "list", self._discovery.body(-1)[0])
+        for _ in range(self._plan.deltas):
+            index, self._turn = self._discovery.index, self._turn + 1
+            old = self._fleet[self._turn % len(self._fleet)]
+            self._discovery.change([old | {"weight": 1.0 + self._turn % 7}])
+            body = self._discovery.body(index)[0]
+            self._delta_bytes = len(body)
+            self._note(spans, "delta", body)
+        return spans
+
+    def _note(self, spans: Spans, what: str, body: bytes) -> None:
+        took = self._take_up(body)
+        for part, span in zip((*_PARTS, "whole"), (*took, sum(took)), strict=True):
+            spans[f"{what}_{part}"].append(span)
+
+    def row(self, spans: Spans) -> dict[str, Any]:
+        """Medians, in milliseconds of a whole list and in microseconds of a change; memory in KiB."""
+        row: dict[str, Any] = self.name | {"list_bytes": self._list_bytes, "delta_bytes": self._delta_bytes}
+        for part in (*_PARTS, "whole"):
+            row[f"list_{part}_ms"] = float(np.median(spans[f"list_{part}"])) / _MS
+            row[f"delta_{part}_us"] = float(np.median(spans[f"delta_{part}"])) / _US
+        row["delta_whole_us_99"] = float(np.percentile(spans["delta_whole"], 99)) / _US
+        return row | {"memory_kib": _memory(self._text) / 1024}
 
 
 def _memory(text: str) -> int:
--- a/tests/test_testbed_core.py
+++ b/tests/test_testbed_core.py
@@ -468,9 +468,18 @@
 # ---- runs -----------------------------------------------------------------------------------------
 
 
-def test_the_run_on_list_sizes_measures_every_part_at_every_size() -> None:
+def test_the_run_on_list_sizes_measures_every_part_at_every_size(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(list_size, "_reference_us", lambda: 50.0)
     plan = read_plan(FOLDER / "list_size.toml", RUNS)
-    small = {"sizes": (6, 40), "warm_calls": 20, "calls": 400, "deltas": 3, "lists": 2, "rounds": 1}
+    small = {
+        "sizes": (6, 40),
+        "warm_calls": 20,
+        "calls": 400,
+        "deltas": 3,
+        "lists": 2,
+        "rounds": 1,
+        "rounds_most": 1,
+    }
     findings = list_size.play(list_size.Plan.model_validate(plan.model_dump() | small), get_logger())
     lists = [row for row in findings.rows if row["measured"] == "list"]
     decisions = [row for row in findings.rows if row["measured"] == "decision"]
@@ -506,16 +515,34 @@
     assert [row["list_module_ms_growth"] for row in rows[1:]] == pytest.approx([0.0, 2.0])
 
 
-def test_of_several_rounds_the_one_with_the_quickest_core_is_kept() -> None:
-    cell = {"measured": "list", "entries": 6, "keeps": "all", "tier": 0}
-    kept: dict[tuple[Any, ...], dict[str, Any]] = {}
-    for row in ({"reference_us": 3.0, "x": 1}, {"reference_us": 2.0, "x": 2}, {"reference_us": 2.5, "x": 3}):
-        list_size._keep_quickest(kept, cell | row)
-    list_size._keep_quickest(kept, cell | {"entries": 60, "reference_us": 2.9, "x": 4})
-    assert [row["x"] for row in kept.values()] == [2, 4]
-    assert list_size._uneven(list(kept.values())) == []
-    kept[()] = {"reference_us": 3.0}
-    assert list_size._uneven(list(kept.values())) == ["a fixed piece of work took up to 1.50 times as long"]
+def test_only_rounds_beside_a_quick_core_count() -> None:
+    class Counted:
+        def __init__(self) -> None:
+            self.name: dict[str, Any] = {"entries": 6}
+            self.rounds = 0
+
+        def play(self) -> list_size.Spans:
+            self.rounds += 1
+            return {"round": [float(self.rounds)]}
+
+        def row(self, spans: list_size.Spans) -> dict[str, Any]:
+            return dict(spans)
+
+    def played(enough: int, most: int, *readings: float) -> tuple[list[dict[str, Any]], list[str]]:
+        coming = iter([*[10.0] * list_size.REFERENCES, *readings])
+        rounds = list_size.Rounds(enough, most, lambda: next(coming))
+        rounds.play(Counted())
+        assert next(coming, None) is None
+        return rounds.rows()
+
+    # A slow reference before or after a round leaves it out; enough quick ones end the play.
+    rows, doubts = played(2, 9, 10.0, 12.0, 19.0, 11.0, 12.5)
+    assert rows == [{"round": [1.0, 4.0], "rounds": 2, "rounds_played": 4, "reference_us": 12.5}]
+    assert doubts == []
+    assert played(1, 2, 19.0, 10.0, 19.0) == ([], ["{'entries': 6}: none of 2 rounds was quick"])
+    # A quicker core seen later makes the earlier rounds slow ones.
+    rows, doubts = played(3, 3, 10.0, 10.0, 6.0, 6.0)
+    assert [row["round"] for row in rows] == [[3.0]]
 
 
 def test_a_change_is_at_a_balancer_with_the_first_version_as_new() -> None:
