Give the tests of the runs a logger of their own

Cause: with test_testbed.py before them, as in the whole suite, four tests failed with 'I/O operation on closed file': the command line's test leaves structlog's shared logger with a standard error that is closed by then. It went unseen as the files had been run in the other order.

--- a/tests/test_testbed_core.py
+++ b/tests/test_testbed_core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import subprocess
 import sys
@@ -14,7 +15,7 @@
 import numpy as np
 import psutil
 import pytest
-from structlog import get_logger
+import structlog
 
 from basaltspindle.interface import Effect
 from basaltspindle.net import discovery as client
@@ -29,6 +30,10 @@
 from tests.loopback import Asked, read_message, run
 
 Known = dict[str, Entry]
+# Of its own: a test of the command line leaves the shared one with an output that is closed.
+SILENT_LOG = structlog.wrap_logger(
+    structlog.ReturnLogger(), [], structlog.make_filtering_bound_logger(logging.CRITICAL)
+)
 
 
 class Watcher:
@@ -480,7 +485,7 @@
         "rounds": 1,
         "rounds_most": 1,
     }
-    findings = list_size.play(list_size.Plan.model_validate(plan.model_dump() | small), get_logger())
+    findings = list_size.play(list_size.Plan.model_validate(plan.model_dump() | small), SILENT_LOG)
     lists = [row for row in findings.rows if row["measured"] == "list"]
     decisions = [row for row in findings.rows if row["measured"] == "decision"]
     assert [(row["entries"], row["keeps"]) for row in lists] == [
@@ -560,7 +565,7 @@
     plan = read_plan(FOLDER / "control_change.toml", RUNS)
     small: dict[str, Any] = {"sizes": (1, 3), "entries": 30, "multiples": (200.0, 400.0)}
     small |= {"spans_s": (0.1, 0.1), "processes": 2, "real": 1}
-    findings = control.play_change(control.ChangePlan.model_validate(plan.model_dump() | small), get_logger())
+    findings = control.play_change(control.ChangePlan.model_validate(plan.model_dump() | small), SILENT_LOG)
     assert [(row["balancers"], row["multiple"]) for row in findings.rows] == [
         (balancers, multiple) for balancers in (1, 3) for multiple in (200.0, 400.0)
     ]
@@ -578,7 +583,7 @@
     plan = read_plan(FOLDER / "control_change.toml", RUNS)
     small: dict[str, Any] = {"sizes": (1, 2), "entries": 30, "multiples": (100.0, 400.0)}
     small |= {"spans_s": (0.1, 0.1), "processes": 1, "real": 0}
-    findings = control.play_change(control.ChangePlan.model_validate(plan.model_dump() | small), get_logger())
+    findings = control.play_change(control.ChangePlan.model_validate(plan.model_dump() | small), SILENT_LOG)
     assert [row["whole_lists"] for row in findings.rows] == [0] * 4
     assert {row["real_core_percent"] for row in findings.rows} == {None}
 
@@ -593,7 +598,7 @@
     monkeypatch.setattr("testbed.runs.control.settings.site", noted)
     plan = read_plan(FOLDER / "control_rest.toml", RUNS)
     small = {"sizes": (3, 30), "span_s": 0.05, "settle_s": 0.0, "hollow": 2}
-    findings = control.play_rest(control.RestPlan.model_validate(plan.model_dump() | small), get_logger())
+    findings = control.play_rest(control.RestPlan.model_validate(plan.model_dump() | small), SILENT_LOG)
     assert [(row["entries"], row["mode"]) for row in findings.rows] == [
         (entries, mode) for mode in ("push", "ask") for entries in (3, 30)
     ]
