Keep the sum of all balancers' calls to a cold server in its limit

Cause: `_cold_room` always granted each balancer one call a window (`max(1.0, budget)`). With 20 and more balancers our part of the budget is far under one call, so these single calls added up to as many as there are balancers; a balancer that knows no rate yet was no exception. The limit of the rule, N + 2 x root of N + 2, knows no balancers.

Change: where all that cold servers are due does not fit into the sum, only such a part of the balancers calls each of them as does (`_judge_cold`, ten times a second at most, and `_Server.turn`, the same draw in each window). What all may send is the mean whose chance spread stays under the limit (`_cold_mean`). The rate of a warm server is what we see of it times the balancers that keep to it; a new balancer takes what it is asked, level over its servers. The count of our own calls in the window stays as it was, and so does everything where the sum fits.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -26,6 +26,7 @@
 RETRY_BUDGET, RETRY_BURST = 0.2, 10.0  # further attempts for each first one, and how many may be saved up
 QUOTA_BURST_MS = 2_000.0  # a tenant may use this much of its share at once
 COLD_SAFETY = 0.5  # the part of a cold server's budget that we use: other balancers and heavy calls count too
+COLD_CHANCE = 5.0  # times the root of a mean count that its limit leaves to chance; calls differ in work
 MEDIAN_STEP_MS = 500.0  # the median is taken anew after this; it only saves work
 FLEET_STEP_MS = 100.0  # the servers that can take calls are counted anew after this; it only saves work
 OFFER_CALLS = 50.0  # what is usual is smoothed over so many calls
@@ -54,7 +55,8 @@
 class _Server:
     """What is known of one server: its list entry, our calls there and the evidence on its capacity."""
 
-    __slots__ = tuple("away busy in_flight luck member memory rank ready seen sends served size used".split())
+    __slots__ = tuple("away busy in_flight luck member memory rank ready seen sends".split())
+    __slots__ += tuple("served size turn used".split())
 
     def __init__(self, member: face.Member, now: float, rank: float) -> None:
         self.member, self.rank = member, rank
@@ -62,6 +64,7 @@
         self.memory = MEMORY_MS
         self.in_flight = 0  # m of the design
         self.sends: deque[float] = deque()
+        self.turn = rank * 1e6 % 1.0  # the balancers with the lowest call it while it is cold: `_cold_room`
         self.forget(now)
 
     def forget(self, now: float) -> None:
@@ -153,6 +156,8 @@
         self._done, self._done_at = 0.0, -math.inf  # calls out, were those served of late as quick as usual
         self._list_failures, self._shedding_until = 0, -math.inf
         self._median, self._median_at, self._usual_rate, self._cold_until = 0.0, -math.inf, 0.0, 0.0
+        self._born, self._cold_at, self._holders = math.inf, -math.inf, 1.0
+        self._cold_rate, self._cold_part = 0.0, 1.0  # `_judge_cold`
         self._longest = {c.name: 0.0 for c in settings.classes}  # that a client gave a try of late
         self._quota = {t.name: t.quota_per_s / 1000 for t in settings.tenants}
         self._share: dict[str, float] = {}  # requests that a tenant may still send inside its share
@@ -194,6 +199,7 @@
         if self._list_failures and event.kind is not ListKind.CACHED:
             self._list_failures = 0
             self._actions.append(face.Log("server list is back"))
+        self._born = min(self._born, now)
         if event.kind is not ListKind.DELTA:
             for known in self._servers.values():
                 known.ready = False  # missing from a whole list means gone
@@ -212,6 +218,7 @@
         self._fleet_at = min(self._fleet_at, now - FLEET_STEP_MS)  # count anew
         newest = max((s.member.up_since_ms for s in self._ready), default=0.0)
         self._cold_until = newest + self._settings.cold_ms
+        self._cold_at = -math.inf  # judge anew
 
     # ---- a request's path -----------------------------------------------------------------------
 
@@ -475,6 +482,7 @@
         median = self._known_median(now)
         able = self._harmless(request, now)
         if now < self._cold_until:
+            self._judge_cold(now)
             able = [s for s in able if self._cold_room(s, now)]
         if request.attempts:
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
@@ -593,12 +601,68 @@
         """Whether a cold server can take one more call in this window (a burst would push it over).
 
         Each balancer sends a part of multiple x warmth x its own rate to a warm server: they add up to a warm
-        load. The one call always allowed is drawn at most warmth times as often as a warm server is.
+        load. The one call always allowed is drawn at most warmth times as often as a warm server is; where
+        hundreds could send one each, only so many balancers call the server at all as keep the sum in its
+        limit: the same ones in each window, since each new draw would be one more chance to exceed it.
         """
         if (warmth := self._warmth(server, now)) >= 1:
             return True
+        if server.turn > max(self._cold_part, self._cold_mean(server.size * warmth)):
+            return False
         window = self._settings.cold_window_ms
         while server.sends and server.sends[0] < now - window:
             server.sends.popleft()
         budget = COLD_SAFETY * self._settings.cold_overload_factor * warmth * self._usual_rate * window
         return len(server.sends) + 1 <= max(1.0, budget)
+
+    def _cold_mean(self, size: float) -> float:
+        """Our part of the calls that all may send in a window to a cold server of this size x warmth.
+
+        The rule allows N + 2 x root of N + 2; a count about the mean m spreads by its root, so m and
+        COLD_CHANCE times its root make up the limit. One call of each of two balancers never exceeds it.
+        """
+        if self._holders <= 2:
+            return 1.0
+        allowed = self._settings.cold_overload_factor * size * self._cold_rate * self._settings.cold_window_ms
+        most = allowed + 2 * math.sqrt(allowed) + 2
+        return float((math.sqrt(COLD_CHANCE**2 / 4 + most) - COLD_CHANCE / 2) ** 2) / self._holders
+
+    def _arrival_rate(self, pause: float, calls: int, now: float) -> float:
+        """Requests a millisecond, by the mean pause between so many of them, or by all since our start."""
+        if self._arrivals >= calls:
+            return 1.0 / (pause + self._settings.tick_ms / calls)
+        return self._arrivals / (now - self._born + self._settings.cold_window_ms)
+
+    def _judge_cold(self, now: float) -> None:
+        """Judge what a warm server takes, and which part of the balancers may draw cold ones as they would.
+
+        Guards against balancers that each see few calls, and restarted ones that know nothing yet: a server
+        takes at the least what all send it if they do as we do (or, too new to tell, if requests come level
+        over our servers), and at the least one call at a time. Where the calls that cold ones are due exceed
+        their part (warm ones went, a burst, a tight rule), the warm ones take the rest.
+        """
+        if now - self._cold_at < FLEET_STEP_MS or not self._near:
+            return
+        self._cold_at = now
+        near = len(self._near)
+        self._holders = max(self._peers * near / len(self._ready), 1.0)
+        unseen = math.exp((self._born - now) / self._memory) if self._usual_rate else 1.0
+        ours = self._usual_rate * near + unseen * self._arrival_rate(self._usual_pause, USUAL_CALLS, now)
+        self._cold_rate = max(ours / sum(s.size for s in self._near) * self._holders, self._median)
+        warm = cold = mean = 0.0
+        for server in self._near:
+            if not server.is_lost():
+                warmth = self._warmth(server, now)
+                if warmth < 1:
+                    cold += server.size * warmth
+                    mean += self._cold_mean(server.size * warmth)
+                else:
+                    warm += server.size
+        calls = self._arrival_rate(self._pause, LATE_CALLS, now) * self._settings.cold_window_ms
+        wanted = calls * cold / mean if mean else math.inf  # size that could take all our calls at this mean
+        if warm + cold >= wanted:
+            self._cold_part = 1.0
+        elif warm:
+            self._cold_part = warm / (wanted - cold)
+        else:  # with no warm one, any that we may call takes all of ours
+            self._cold_part = 1.0 - (1.0 - cold / wanted) ** (1 / near)
