Let further attempts call cold servers only inside the sum

Cause: `_judge_cold` counts requests. Where half of the warm servers turn calls away or are away, each balancer of 300 learns it slowly, and the further attempts came to cold servers on top of what was counted: twelve calls of 0.75 and 2.0 mean work in half a second where N + 2 x root of N + 2 was 9.8.

Change: where the sum is tight (`_cold_part` under 1) a further attempt goes only where the mean of the sum has it.

The new test fails without the change.

--- a/basaltspindle/policy.py
+++ b/basaltspindle/policy.py
@@ -483,7 +483,7 @@
         able = self._harmless(request, now)
         if now < self._cold_until:
             self._judge_cold(now)
-            able = [s for s in able if self._cold_room(s, now)]
+            able = [s for s in able if self._cold_room(s, not request.attempts, now)]
         if request.attempts:
             able = [s for s in able if all(a.server is not s for a in request.attempts)] or able
         if not able:
@@ -597,7 +597,7 @@
             return 1.0
         return 1.0 - (1.0 - self._settings.cold_from) * (1.0 - max(age, 0.0) / self._settings.cold_ms)
 
-    def _cold_room(self, server: _Server, now: float) -> bool:
+    def _cold_room(self, server: _Server, first: bool, now: float) -> bool:
         """Whether a cold server can take one more call in this window (a burst would push it over).
 
         Each balancer sends a part of multiple x warmth x its own rate to a warm server: they add up to a warm
@@ -607,7 +607,9 @@
         """
         if (warmth := self._warmth(server, now)) >= 1:
             return True
-        if server.turn > max(self._cold_part, self._cold_mean(server.size * warmth)):
+        # Further attempts come on top of the requests that `_judge_cold` counts.
+        part = self._cold_part if first or self._cold_part >= 1 else 0.0
+        if server.turn > max(part, self._cold_mean(server.size * warmth)):
             return False
         window = self._settings.cold_window_ms
         while server.sends and server.sends[0] < now - window:
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -170,3 +170,10 @@
     story(fleet)
     assert fleet.cold_calls and fleet.refused <= 0.02 * fleet.asked
     assert fleet.worst <= 1
+
+
+def test_further_attempts_do_not_come_on_top() -> None:
+    """Warm servers that turn calls away: calls were sent on, and twelve in a window met one cold server."""
+    fleet = Fleet(300, 20, RATE, 0.9, 22, TIGHT)
+    half_of_the_warm_turn_calls_away(fleet)
+    assert fleet.cold_calls and fleet.worst <= 1
