Measure a balancer's added time over list length, and of real chains over depth

Cause: nobody knew what the program adds to a call at 186 calls a second with a list of thousands, nor what real balancers do in a chain of 28.

--- a/testbed/load.py
+++ b/testbed/load.py
@@ -194,6 +194,8 @@
     sends: int = 0
     opened: int = 0
     statuses: Counter[int] = field(default_factory=Counter)
+    unserved: list[float] = field(default_factory=list)
+    """When the calls were due that were not answered 200, in seconds from the start, as they ended."""
     served: Latencies = field(default_factory=Latencies)
     """From due to the last byte of the answer, of calls answered 200."""
     lateness: Latencies = field(default_factory=Latencies)
@@ -235,6 +237,8 @@
         report.statuses[answer.status] += 1
         if answer.status == 200:
             report.served.record(answer.at - due)
+        else:
+            report.unserved.append(due - begun)
 
     for at, number, choice in heapq.merge(*plans):
         due = begun + at
--- a/tests/test_testbed_load.py
+++ b/tests/test_testbed_load.py
@@ -10,11 +10,13 @@
 
 import psutil
 import pytest
+import structlog
 
 from testbed import real
 from testbed.latency import Latencies, added
 from testbed.load import NO_ANSWER, Client, Report, Stream, arrivals, compose, play, request_ids
 from testbed.real import RealBalancer, RealError
+from testbed.runs import added_time, real_depth
 from testbed.upstream import Asked, Behaviour, Upstreams, UpstreamsApart, Way, next_tier
 from tests.loopback import Upstream as Scripted
 from tests.loopback import config_text, response, run
@@ -253,7 +255,11 @@
         stream = Stream("calls", [Client(upstream.address)], 4_000.0, "read", 8_000.0)
         report = (await play([stream], 0.01, seed=7))["calls"]
         assert report.sends == report.opened == planned
-        assert report.statuses == {200: planned}
+        assert report.statuses == {200: planned} and report.unserved == []
+        await upstream.act(Behaviour(Way.FAIL))
+        report = (await play([stream], 0.01, seed=7))["calls"]
+        assert report.statuses == {500: planned} and report.served.count == 0
+        assert sorted(report.unserved) == pytest.approx(arrivals(4_000.0, 0.01, random.Random("7/calls")))
         upstreams.close()
 
     run(scenario())
@@ -313,3 +319,59 @@
         assert apart.pid is not None and not psutil.pid_exists(apart.pid)
 
     run(scenario())
+
+
+def test_added_time_counts_both_ways_and_hands_on_the_load_s_doubts() -> None:
+    plan = added_time.Plan(
+        run="added_time",
+        about="A trial.",
+        seed=5,
+        sizes=(3,),
+        per_s=200.0,
+        class_name="look-up",
+        deadline_ms=2_000.0,
+        service_ms=0.0,
+        direct_servers=2,
+        warm_s=0.02,
+        rest_s=0.01,
+        measure_s=0.1,
+        late_ms=0.0,
+    )
+    findings = added_time.play(plan, structlog.get_logger())
+    (row,) = findings.rows
+    assert row["entries"] == 3 and row["calls"] == len(arrivals(200.0, 0.1, random.Random("5/through")))
+    assert row["served"] == row["calls"] <= row["calls"] * row["attempts_a_call"]
+    assert row["processor_us_a_call"] > 0 and row["direct_50_ms"] > 0
+    assert [doubt.partition(": ")[0] for doubt in findings.doubts if "late" in doubt] == [
+        "3 entries, direct",
+        "3 entries, through",
+    ]
+
+
+def test_real_depth_plays_each_fault_at_the_bottom_of_a_chain_of_real_balancers() -> None:
+    plan = real_depth.Plan(
+        run="real_depth",
+        about="A trial.",
+        seed=5,
+        sizes=(2,),
+        faults_at=(2,),
+        per_s=100.0,
+        class_name="look-up",
+        deadline_ms=1_000.0,
+        warm_s=0.02,
+        phase_s=0.05,
+        late_ms=1_000.0,
+    )
+    rows = {row["phase"]: row for row in real_depth.play(plan, structlog.get_logger()).rows}
+    assert next(iter(rows)) == "calm" and len(rows) == 7
+    for phase, row in rows.items():
+        assert row["calls"] == row["served"] + row["refused"] + row["failed"] > 0
+        top, bottom = row["attempts_by_tier"]
+        assert top >= row["calls"] and (row["attempts_top"], row["attempts_bottom"]) == (
+            top / row["calls"],
+            bottom / row["calls"],
+        )
+        if phase in ("fails all", "hangs"):
+            assert row["served"] == 0
+    calm = rows["calm"]
+    assert calm["served"] == calm["calls"] and 0 < calm["bottom_deadline_50_ms"] < 1_000
