Let the testbed's load sleep on a kernel timer instead of watching the clock

Cause: the load watched the clock for up to 2 ms before each send; what a send woke was placed on that busy core and waited for it. Change: play sleeps on a timerfd.

--- a/testbed/load.py
+++ b/testbed/load.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import heapq
+import os
 import random
+import struct
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator, Sequence
-from contextlib import suppress
+from contextlib import closing, suppress
 from dataclasses import dataclass, field
 from typing import NamedTuple, cast
 
@@ -25,8 +28,8 @@
 
 NO_ANSWER = 0
 """The status of a call that got none: its time passed, or the connection broke."""
-_TIMER_S = 0.002
-"""Timers of event loops are right to a millisecond or so: the rest of a wait is spent watching the clock."""
+_LIBC = ctypes.CDLL(None, use_errno=True)
+_NOT_BLOCKING = os.O_NONBLOCK | os.O_CLOEXEC
 
 
 class Answer(NamedTuple):
@@ -207,16 +210,50 @@
         return [f"{name}: 1 send in 100 was {late:.3f} ms late or more"] if late > late_ms else []
 
 
+class Alarm:
+    """Sleeps on a timer of the kernel: an event loop's own are right to a millisecond only.
+
+    Watching the clock instead would keep a core busy, on which those that a send wakes then wait for it.
+    """
+
+    def __init__(self) -> None:
+        self._file = _LIBC.timerfd_create(time.CLOCK_MONOTONIC, _NOT_BLOCKING)
+        if self._file < 0:
+            raise OSError(ctypes.get_errno(), "timerfd_create")
+        self._rings = asyncio.Event()
+        asyncio.get_running_loop().add_reader(self._file, self._ring)
+
+    def _ring(self) -> None:
+        os.read(self._file, 8)
+        self._rings.set()
+
+    async def sleep(self, seconds: float) -> None:
+        """Return after so long, or after one turn of the loop if that is 0 or less."""
+        whole, part = divmod(max(round(seconds * 1e9), 0), 1_000_000_000)
+        if not (whole or part):  # it would never ring
+            await asyncio.sleep(0)
+            return
+        self._rings.clear()
+        if _LIBC.timerfd_settime(self._file, 0, struct.pack("qqqq", 0, 0, whole, part), None) < 0:
+            raise OSError(ctypes.get_errno(), "timerfd_settime")
+        await self._rings.wait()
+
+    def close(self) -> None:
+        """Give the timer back."""
+        asyncio.get_running_loop().remove_reader(self._file)
+        os.close(self._file)
+
+
 async def play(
     streams: Sequence[Stream],
     seconds: float,
     seed: int,
     clock: Clock = time.perf_counter,
-    sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    sleep: Callable[[float], Awaitable[None]] | None = None,
 ) -> dict[str, Report]:
     """Play the streams side by side for some seconds and wait for the last answers; a report for each.
 
-    `clock` (seconds) has to be that of the streams' clients.
+    `clock` (seconds) has to be that of the streams' clients; `sleep` waits on it, unless given by an Alarm.
     """
     reports = {stream.name: Report(opened=-sum(c.opened for c in stream.clients)) for stream in streams}
     ids = request_ids(seed)
@@ -240,15 +277,14 @@
         else:
             report.unserved.append(due - begun)
 
-    for at, number, choice in heapq.merge(*plans):
-        due = begun + at
-        if (left := due - clock()) > _TIMER_S:
-            await sleep(left - _TIMER_S)
-        while clock() < due:
-            await sleep(0)
-        task = asyncio.ensure_future(one(streams[number], streams[number].clients[choice], due))
-        open_calls.add(task)
-        task.add_done_callback(open_calls.discard)
+    with closing(Alarm()) as alarm:
+        for at, number, choice in heapq.merge(*plans):
+            due = begun + at
+            while (left := due - clock()) > 0:
+                await (sleep or alarm.sleep)(left)
+            task = asyncio.ensure_future(one(streams[number], streams[number].clients[choice], due))
+            open_calls.add(task)
+            task.add_done_callback(open_calls.discard)
     if open_calls:
         await asyncio.wait(open_calls)
     for stream in streams:
--- a/testbed/runs/added_time.py
+++ b/testbed/runs/added_time.py
@@ -109,8 +109,8 @@
     reports = await load.play(streams, plan.measure_s, plan.seed)
     after, recounted = usage([balancer.pid]), apart.counts()
     gc.unfreeze()
+    busy, doubts = cores.busy(), cores.doubts(f"{size} entries")
     direct, through = reports["direct"], reports["through"]
-    doubts = cores.doubts(f"{size} entries")
     for name, report in reports.items():
         doubts += report.doubts(f"{size} entries, {name}", plan.late_ms)
     processor_us = (after.processor_s - before.processor_s) * 1e6
@@ -127,5 +127,6 @@
         "opened_a_call": (recounted.connections - counted.connections - direct.opened) / through.sends,
         "probes": recounted.probes - counted.probes,
         "late_99_ms": through.lateness.quantile_ms(0.99),
+        "cores_busy": busy,
     }
     return row, doubts
--- a/tests/test_testbed_load.py
+++ b/tests/test_testbed_load.py
@@ -6,6 +6,7 @@
 import os
 import random
 import sys
+import time
 from pathlib import Path
 
 import psutil
@@ -14,7 +15,7 @@
 
 from testbed import real
 from testbed.latency import Latencies, added
-from testbed.load import NO_ANSWER, Client, Report, Stream, arrivals, compose, play, request_ids
+from testbed.load import NO_ANSWER, Alarm, Client, Report, Stream, arrivals, compose, play, request_ids
 from testbed.real import RealBalancer, RealError
 from testbed.runs import added_time, real_depth
 from testbed.upstream import Asked, Behaviour, Upstreams, UpstreamsApart, Way, next_tier
@@ -287,6 +288,18 @@
     assert run(scenario(0.0)).doubts("direct", late_ms=1.0) == []
 
 
+def test_an_alarm_rings_no_sooner_than_asked_and_again_each_time() -> None:
+    async def scenario() -> None:
+        alarm = Alarm()
+        for seconds in (0.003, 0.0, 0.002, -1.0):
+            begun = time.perf_counter()
+            await alarm.sleep(seconds)
+            assert time.perf_counter() - begun >= seconds
+        alarm.close()
+
+    run(scenario())
+
+
 def test_arrivals_come_from_the_seed_at_the_rate_that_was_asked_for() -> None:
     times = arrivals(200.0, 20.0, random.Random(1))
     assert times == sorted(times) == arrivals(200.0, 20.0, random.Random(1))
