--- a/testbed/cli.py
+++ b/testbed/cli.py
@@ -29,7 +29,8 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        # Looked up with each logger: standard error may be another one by then.
+        logger_factory=lambda *_: structlog.PrintLogger(sys.stderr),
     )
 
 
