--- a/tests/test_testbed_core.py
+++ b/tests/test_testbed_core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import subprocess
 import sys
@@ -11,19 +12,28 @@
 from types import SimpleNamespace
 from typing import Any
 
+import numpy as np
 import psutil
 import pytest
+import structlog
 
 from basaltspindle.interface import Effect
 from basaltspindle.net import discovery as client
 from basaltspindle.net.config import read_config
+from basaltspindle.policy import SUBSET_COVER
 from testbed.discovery import Counts, Discovery, Mode, State, play, restarts, single_changes, times
+from testbed.experiment import FOLDER, read_plan
 from testbed.hollow import Hollow, HollowProcess
 from testbed.meter import CoresWatch, LoopLag, processor_s, usage
+from testbed.runs import RUNS, control, list_size
 from testbed.settings import Address, Entry, config, entry, fleet, site
 from tests.loopback import Asked, read_message, run
 
 Known = dict[str, Entry]
+# Of its own: a test of the command line leaves the shared one with an output that is closed.
+SILENT_LOG = structlog.wrap_logger(
+    structlog.ReturnLogger(), [], structlog.make_filtering_bound_logger(logging.CRITICAL)
+)
 
 
 class Watcher:
@@ -458,3 +468,140 @@
     assert lag.take() == (0.0, 0.0)
     lag.stop()
     assert calls == []
+
+
+# ---- runs -----------------------------------------------------------------------------------------
+
+
+def test_the_run_on_list_sizes_measures_every_part_at_every_size(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(list_size, "_reference_us", lambda: 50.0)
+    plan = read_plan(FOLDER / "list_size.toml", RUNS)
+    small = {
+        "sizes": (6, 40),
+        "warm_calls": 20,
+        "calls": 400,
+        "deltas": 3,
+        "lists": 2,
+        "rounds": 1,
+        "rounds_most": 1,
+    }
+    findings = list_size.play(list_size.Plan.model_validate(plan.model_dump() | small), SILENT_LOG)
+    lists = [row for row in findings.rows if row["measured"] == "list"]
+    decisions = [row for row in findings.rows if row["measured"] == "decision"]
+    assert [(row["entries"], row["keeps"]) for row in lists] == [
+        (entries, keeps) for entries in (6, 40) for keeps in ("part", "all")
+    ]
+    assert [(row["calls"], row["shed"]) for row in decisions] == [(400, 0)] * 8
+    kept = {row["keeps"]: row["servers_called"] for row in decisions if row["entries"] == 40}
+    assert kept["part"] <= SUBSET_COVER < kept["all"]
+    for row in lists:
+        discovery = Discovery()
+        discovery.set(fleet(row["entries"], seed=plan.seed))
+        assert row["list_bytes"] == len(discovery.body(-1)[0])
+        parts = sum(row[f"list_{part}_ms"] for part in ("parse", "read", "pools", "module"))
+        assert 0 < row["list_module_ms"] < parts and 0 < row["delta_module_us"] < row["delta_whole_us_99"]
+        assert row["memory_kib"] > row["entries"]  # the list alone takes less than 1 KiB an entry
+    slopes = {fit.y: fit for fit in findings.fits}
+    assert slopes["list_bytes (all)"].slope == pytest.approx(
+        (lists[3]["list_bytes"] - lists[1]["list_bytes"]) / 34
+    )
+    for keeps in ("part", "all"):
+        assert {f"arrival_us_mean ({keeps}, tier {tier})" for tier in (0, 1)} <= slopes.keys()
+    assert all("list_module_ms_growth" in row for row in lists[2:])
+
+
+def test_growth_is_the_power_of_the_length_between_two_sizes() -> None:
+    cell = {"measured": "list", "keeps": "all", "tier": 0}
+    rows: list[dict[str, Any]] = [
+        cell | {"entries": n, "list_module_ms": ms} for n, ms in ((10, 1.0), (100, 1.0), (1000, 100.0))
+    ]
+    list_size._add_growth(rows)
+    assert "list_module_ms_growth" not in rows[0]
+    assert [row["list_module_ms_growth"] for row in rows[1:]] == pytest.approx([0.0, 2.0])
+
+
+def test_only_rounds_beside_a_quick_core_count() -> None:
+    class Counted:
+        def __init__(self) -> None:
+            self.name: dict[str, Any] = {"entries": 6}
+            self.rounds = 0
+
+        def play(self) -> list_size.Spans:
+            self.rounds += 1
+            return {"round": [float(self.rounds)]}
+
+        def row(self, spans: list_size.Spans) -> dict[str, Any]:
+            return dict(spans)
+
+    def played(enough: int, most: int, *readings: float) -> tuple[list[dict[str, Any]], list[str]]:
+        coming = iter([*[10.0] * list_size.REFERENCES, *readings])
+        rounds = list_size.Rounds(enough, most, lambda: next(coming))
+        rounds.play(Counted())
+        assert next(coming, None) is None
+        return rounds.rows()
+
+    # A slow reference before or after a round leaves it out; enough quick ones end the play.
+    rows, doubts = played(2, 9, 10.0, 12.0, 19.0, 11.0, 12.5)
+    assert rows == [{"round": [1.0, 4.0], "rounds": 2, "rounds_played": 4, "reference_us": 12.5}]
+    assert doubts == []
+    assert played(1, 2, 19.0, 10.0, 19.0) == ([], ["{'entries': 6}: none of 2 rounds was quick"])
+    # A quicker core seen later makes the earlier rounds slow ones.
+    rows, doubts = played(3, 3, 10.0, 10.0, 6.0, 6.0)
+    assert [row["round"] for row in rows] == [[3.0]]
+
+
+def test_a_change_is_at_a_balancer_with_the_first_version_as_new() -> None:
+    # Versions 5, 6 and 7; balancer 1 hears of 5 and 6 at once, balancer 2 never of 7.
+    notes = [(1, 4, 9.0), (1, 6, 11.0), (2, 5, 10.5), (1, 7, 13.0), (2, 6, 12.0), (3, 7, 1.0)]
+    delays = control._delays(notes, range(1, 3), 5, np.array([10.0, 10.5, 12.0]))
+    assert delays.tolist() == [[1000.0, 500.0, 1000.0], [500.0, 1500.0, np.inf]]
+    assert control._spread("ms", delays[:1]) == pytest.approx(
+        {"ms_median": 1000.0, "ms_99": 1000.0, "ms_longest": 1000.0}
+    )
+    assert control._spread("ms", np.empty((0, 3))) == {"ms_median": None, "ms_99": None, "ms_longest": None}
+
+
+def test_the_run_under_change_sees_every_change_at_every_balancer() -> None:
+    plan = read_plan(FOLDER / "control_change.toml", RUNS)
+    small: dict[str, Any] = {"sizes": (1, 3), "entries": 30, "multiples": (200.0, 400.0)}
+    small |= {"spans_s": (0.1, 0.1), "processes": 2, "real": 1}
+    findings = control.play_change(control.ChangePlan.model_validate(plan.model_dump() | small), SILENT_LOG)
+    assert [(row["balancers"], row["multiple"]) for row in findings.rows] == [
+        (balancers, multiple) for balancers in (1, 3) for multiple in (200.0, 400.0)
+    ]
+    for row in findings.rows:
+        assert row["changes"] > 0
+        for told in ("in_force_ms", "taken_up_ms", "real_taken_up_ms"):
+            assert 0 < row[f"{told}_median"] <= row[f"{told}_longest"] < float("inf")
+        assert row["in_force_ms_median"] <= row["everywhere_ms_median"] <= row["in_force_ms_longest"]
+        assert row["core_percent"] > 0 and row["real_core_percent"] > 0 and row["bytes_per_s"] > 0
+    assert {row["whole_lists"] for row in findings.rows} == {0}  # all followed the list from the start
+    assert {"in_force_ms_99 (200 times)", "core_percent (3 balancers)"} <= {fit.y for fit in findings.fits}
+
+
+def test_the_run_under_change_waits_until_its_balancers_follow() -> None:
+    plan = read_plan(FOLDER / "control_change.toml", RUNS)
+    small: dict[str, Any] = {"sizes": (1, 2), "entries": 30, "multiples": (100.0, 400.0)}
+    small |= {"spans_s": (0.1, 0.1), "processes": 1, "real": 0}
+    findings = control.play_change(control.ChangePlan.model_validate(plan.model_dump() | small), SILENT_LOG)
+    assert [row["whole_lists"] for row in findings.rows] == [0] * 4
+    assert {row["real_core_percent"] for row in findings.rows} == {None}
+
+
+def test_the_run_at_rest_watches_a_real_balancer_of_each_size(monkeypatch: pytest.MonkeyPatch) -> None:
+    modes = []
+
+    def noted(**more: Any) -> dict[str, Any]:
+        modes.append((more["balancers"], more["pushed"]))
+        return site(**more)
+
+    monkeypatch.setattr("testbed.runs.control.settings.site", noted)
+    plan = read_plan(FOLDER / "control_rest.toml", RUNS)
+    small = {"sizes": (3, 30), "span_s": 0.05, "settle_s": 0.0, "hollow": 2}
+    findings = control.play_rest(control.RestPlan.model_validate(plan.model_dump() | small), SILENT_LOG)
+    assert [(row["entries"], row["mode"]) for row in findings.rows] == [
+        (entries, mode) for mode in ("push", "ask") for entries in (3, 30)
+    ]
+    assert modes == [(entries, pushed) for pushed in (True, False) for entries in (3, 30)]
+    assert all(row["resident_mib"] > 5 and row["descriptors"] > 5 for row in findings.rows)
+    assert {"resident_mib (push)", "bytes_per_s (ask)"} <= {fit.y for fit in findings.fits}
--- a/tests/test_testbed_load.py
+++ b/tests/test_testbed_load.py
@@ -95,6 +95,9 @@
 
 
 IDS = request_ids(1)
+LOG = structlog.wrap_logger(
+    structlog.testing.CapturingLogger(), processors=[]
+)  # whatever is set up elsewhere
 
 
 async def ask(client: Client, deadline_ms: float = 5_000.0, key: str = "") -> int:
@@ -350,7 +353,7 @@
         measure_s=0.1,
         late_ms=0.0,
     )
-    findings = added_time.play(plan, structlog.get_logger())
+    findings = added_time.play(plan, LOG)
     (row,) = findings.rows
     assert row["entries"] == 3 and row["calls"] == len(arrivals(200.0, 0.1, random.Random("5/through")))
     assert row["served"] == row["calls"] <= row["calls"] * row["attempts_a_call"]
@@ -375,7 +378,7 @@
         phase_s=0.05,
         late_ms=1_000.0,
     )
-    rows = {row["phase"]: row for row in real_depth.play(plan, structlog.get_logger()).rows}
+    rows = {row["phase"]: row for row in real_depth.play(plan, LOG).rows}
     assert next(iter(rows)) == "calm" and len(rows) == 7
     for phase, row in rows.items():
         assert row["calls"] == row["served"] + row["refused"] + row["failed"] > 0
