--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
@@ -192,12 +193,31 @@
         return answer
 
 
+def free_port() -> int:
+    """A port of 127.0.0.1 that nobody has just now, for a program that is told its address."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
 class Caller:
     """A client on one connection."""
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
 
+    @classmethod
+    async def of_program(cls, port: int) -> Caller:
+        """A caller of a program that was started just now: it is tried until it listens."""
+        caller, end = cls(), asyncio.get_running_loop().time() + PATIENCE_S
+        while True:
+            try:
+                caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", port)
+                return caller
+            except ConnectionRefusedError:
+                assert asyncio.get_running_loop().time() < end
+                await asyncio.sleep(0.01)
+
     def send(
         self,
         path: str = "/read/x?y=1",
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,13 +19,13 @@
 from basaltspindle.net.driver import Driver
 from basaltspindle.net.upstreams import Connection, Pool
 from tests.loopback import (
-    PATIENCE_S,
     Caller,
     ListServer,
     Rig,
     Upstream,
     config_text,
     entry,
+    free_port,
     response,
     run,
     silent,
@@ -38,9 +38,7 @@
     async def scenario() -> None:
         upstream, old, new = Upstream(silent), ListServer(), ListServer()
         entries = [entry("s0", await upstream.start())]
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        port = free_port()
         path = tmp_path / "config.json"
         path.write_text(config_text(await old.start(), entries).replace("127.0.0.1:0", f"127.0.0.1:{port}"))
         node = await asyncio.create_subprocess_exec(
@@ -52,14 +50,7 @@
         )
         assert node.stderr is not None
         try:
-            caller, end = Caller(), asyncio.get_running_loop().time() + PATIENCE_S
-            while True:
-                try:
-                    caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", port)
-                    break
-                except ConnectionRefusedError:
-                    assert asyncio.get_running_loop().time() < end
-                    await asyncio.sleep(0.02)
+            caller = await Caller.of_program(port)
             caller.send("/pay/x", b"debit")
             await upstream.seen.wait()
             path.write_text(config_text(await new.start(), entries))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,6 +18,7 @@
     Upstream,
     config_text,
     entry,
+    free_port,
     reset,
     response,
     run,
@@ -608,9 +609,7 @@
     import sys
     import time
 
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
+    port = free_port()
     path = tmp_path / "config.json"
     path.write_text(config_text("127.0.0.1:9", []).replace("127.0.0.1:0", f"127.0.0.1:{port}"))
     node = subprocess.Popen(
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from tests.loopback import PATIENCE_S, Caller, config_text, entry, run, status
+from tests.loopback import PATIENCE_S, Caller, config_text, entry, free_port, run, status
 
 ROOT = Path(__file__).parent.parent
 ENTRIES = 7_000  # a full fleet's list
@@ -75,9 +75,7 @@
 @pytest.mark.parametrize("entries", [0, 1])
 def test_it_is_ready_without_discovery(state: str, kind: str, entries: int, tmp_path: Path) -> None:
     async def scenario() -> None:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        port = free_port()
         with discovery(state) as agent:
             path = tmp_path / "config.json"
             text = config_text(agent, [entry("s0", "127.0.0.1:9")] * entries, discovery=kind)
@@ -86,14 +84,7 @@
                 sys.executable, "-m", "basaltspindle", cwd=ROOT, env=os.environ | {"LB_CONFIG": str(path)}
             )
             try:
-                caller, end = Caller(), asyncio.get_running_loop().time() + PATIENCE_S
-                while True:
-                    try:
-                        caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", port)
-                        break
-                    except ConnectionRefusedError:
-                        assert asyncio.get_running_loop().time() < end
-                        await asyncio.sleep(0.01)
+                caller = await Caller.of_program(port)
                 caller.writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
                 assert status(await caller.answer()) == 200
                 caller.writer.close()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
@@ -22,6 +21,7 @@
     Upstream,
     config_text,
     entry,
+    free_port,
     response,
     run,
     silent,
@@ -69,9 +69,7 @@
     async def scenario() -> None:
         upstream, old, new = Upstream(silent), ListServer(), ListServer()
         entries = [entry("s0", await upstream.start())]
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        port = free_port()
         path = tmp_path / "config.json"
         first = config_text(await old.start(), entries).replace("127.0.0.1:0", f"127.0.0.1:{port}")
         path.write_text(first)
@@ -84,14 +82,7 @@
         )
         assert node.stderr is not None
         try:
-            caller, end = Caller(), time.monotonic() + PATIENCE_S
-            while True:
-                try:
-                    caller.reader, caller.writer = await asyncio.open_connection("127.0.0.1", port)
-                    break
-                except ConnectionRefusedError:
-                    assert time.monotonic() < end
-                    await asyncio.sleep(0.02)
+            caller = await Caller.of_program(port)
             caller.send("/pay/x", b"debit")
             await upstream.seen.wait()
             path.write_text("{ not whole")
