--- a/testbed/discovery.py
+++ b/testbed/discovery.py
@@ -20,7 +20,8 @@
 
 import httptools
 
-from testbed.settings import Address, Entry
+from basaltspindle.net.config import Address
+from testbed.settings import Entry
 
 WAIT_MOST_MS = 60_000  # of one watch call
 CONTINUES_S = 0.2  # a watch call so soon after the answer before continues that watch
--- a/testbed/load.py
+++ b/testbed/load.py
@@ -21,8 +21,8 @@
 
 import httptools
 
+from basaltspindle.net.config import Address
 from testbed.latency import Latencies
-from testbed.real import Address
 
 Clock = Callable[[], float]
 
--- a/testbed/real.py
+++ b/testbed/real.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-Address = tuple[str, int]
+from basaltspindle.net.config import Address, read_address
 
 ROOT = Path(__file__).parent.parent
 SAME_PYTHON = f"exec {sys.executable} -m basaltspindle"
@@ -43,12 +43,6 @@
         return f"{host}:{probe.getsockname()[1]}"
 
 
-def split_address(text: str) -> Address:
-    """`host:port` as a pair."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 class RealBalancer:
     """One balancer process; `start` makes it, `stop` ends it and removes its temporary files."""
 
@@ -91,7 +85,7 @@
                 stderr=log,
             )
         _running.add(process.pid)
-        return cls(process, folder, split_address(told["LB_LISTEN"]))
+        return cls(process, folder, read_address(told["LB_LISTEN"]))
 
     async def ready(self, timeout_s: float = 30.0) -> None:
         """Return once `GET /healthz` answers 200; RealError if the process ends or the time passes before."""
--- a/testbed/settings.py
+++ b/testbed/settings.py
@@ -7,7 +7,8 @@
 from collections.abc import Sequence
 from typing import Any
 
-Address = tuple[str, int]
+from basaltspindle.net.config import Address
+
 Entry = dict[str, Any]
 """One entry of discovery's list, as the PROTOCOL page shows it."""
 
--- a/testbed/upstream.py
+++ b/testbed/upstream.py
@@ -20,8 +20,8 @@
 import httptools
 import uvloop
 
+from basaltspindle.net.config import Address
 from testbed.load import Client, Clock, compose
-from testbed.real import Address
 from testbed.settings import loopback
 
 HOSTS = 72
--- a/tests/test_testbed_core.py
+++ b/tests/test_testbed_core.py
@@ -19,14 +19,14 @@
 
 from basaltspindle.interface import Effect
 from basaltspindle.net import discovery as client
-from basaltspindle.net.config import read_config
+from basaltspindle.net.config import Address, read_config
 from basaltspindle.policy import SUBSET_COVER
 from testbed.discovery import Counts, Discovery, Mode, State, play, restarts, single_changes, times
 from testbed.experiment import FOLDER, read_plan
 from testbed.hollow import Hollow, HollowProcess
 from testbed.meter import CoresWatch, LoopLag, processor_s, usage
 from testbed.runs import RUNS, control, list_size
-from testbed.settings import Address, Entry, config, entry, fleet, site
+from testbed.settings import Entry, config, entry, fleet, site
 from tests.loopback import Asked, read_message, run
 
 Known = dict[str, Entry]
--- a/tests/test_testbed_load.py
+++ b/tests/test_testbed_load.py
@@ -13,6 +13,7 @@
 import pytest
 import structlog
 
+from basaltspindle.net.config import read_address
 from testbed import real
 from testbed.latency import Latencies, added
 from testbed.load import NO_ANSWER, Alarm, Client, Report, Stream, arrivals, compose, play, request_ids
@@ -230,7 +231,7 @@
             writer.transport.abort()
 
         server = Scripted(wait, wait, drop, response())
-        client = Client(real.split_address(await server.start()))
+        client = Client(read_address(await server.start()))
         assert tuple(await asyncio.gather(ask(client), ask(client))) == (200, 200)
         assert client.opened == server.connections == 2
         assert await ask(client) == 200
