--- a/testbed/runs/added_time.py
+++ b/testbed/runs/added_time.py
@@ -13,11 +13,12 @@
 import uvloop
 from structlog.typing import FilteringBoundLogger
 
-from testbed import experiment, latency, load, settings
+from testbed import latency, load, settings
 from testbed.discovery import Discovery
 from testbed.meter import CoresWatch, usage
 from testbed.real import SAME_PYTHON, RealBalancer, free_address
 from testbed.results import Findings, fit_line
+from testbed.runs import loaded
 from testbed.upstream import UpstreamsApart
 
 _AGENTS = "127.79.0.1"
@@ -25,27 +26,17 @@
 _FITTED = ("added_50_ms", "added_99_ms", "over_median_99_ms", "processor_us_a_call", "rest_us_a_s")
 
 
-class Plan(experiment.Plan):
+class Plan(loaded.Plan):
     """`sizes` count the entries of the list, which is also how many balancers the settings tell of."""
 
-    per_s: float
-    """Calls a second through the balancer; as many go direct."""
-    class_name: str
-    """A class of the made-up settings that is safe to repeat."""
-    deadline_ms: float
-    """What clients say they wait."""
     service_ms: float
     """An upstream's time for a call."""
     direct_servers: int
     """So many upstreams get the direct calls, the first of the list."""
-    warm_s: float
-    """Load that is not measured, before the other two stretches."""
     rest_s: float
     """A stretch without load, for the processor time that calls don't cause."""
     measure_s: float
     """The measured stretch."""
-    late_ms: float
-    """A load whose sends are later than that, 1 in 100, gives no figures."""
 
 
 def play(plan: Plan, log: FilteringBoundLogger) -> Findings:
--- a/testbed/runs/real_depth.py
+++ b/testbed/runs/real_depth.py
@@ -14,12 +14,13 @@
 import uvloop
 from structlog.typing import FilteringBoundLogger
 
-from testbed import experiment, load, settings
+from testbed import load, settings
 from testbed.discovery import Discovery
 from testbed.latency import Latencies
 from testbed.meter import CoresWatch, usage
 from testbed.real import SAME_PYTHON, RealBalancer, free_address
 from testbed.results import Findings, fit_line
+from testbed.runs import loaded
 from testbed.upstream import Asked, Behaviour, Upstream, Upstreams, Way, next_tier
 
 _WIDTH = 2
@@ -36,23 +37,13 @@
 )
 
 
-class Plan(experiment.Plan):
+class Plan(loaded.Plan):
     """`sizes` count the tiers, which are also the balancers on a call's way."""
 
     faults_at: tuple[int, ...]
     """The sizes at which the bottom tier fails, hangs and comes back; at the others all is calm."""
-    per_s: float
-    """Calls a second to the two fronts together; as many go through the chain without balancers."""
-    class_name: str
-    """A class of the made-up settings that is safe to repeat."""
-    deadline_ms: float
-    """What clients say they wait."""
-    warm_s: float
-    """Load that is not measured, before the first phase."""
     phase_s: float
     """The length of each phase."""
-    late_ms: float
-    """A load whose sends are later than that, 1 in 100, gives no figures."""
 
 
 def play(plan: Plan, log: FilteringBoundLogger) -> Findings:
