--- a/review/standins.py
+++ b/review/standins.py
@@ -297,7 +297,9 @@
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
 
-    async def start(self, discovery: Discovery, balancer_settings: dict[str, Any]) -> None:
+    async def start(
+        self, discovery: Discovery, balancer_settings: dict[str, Any], memory_mb: int = 192
+    ) -> None:
         """Start the balancer with the present list, and wait until it is ready."""
         path = self._folder / "config.json"
         configuration = {
@@ -305,7 +307,7 @@
             "listen": f"{HOST}:{self.port}",
             "discovery": discovery.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
             "known": discovery.whole_list(),
             "settings": balancer_settings,
         }
