Review stand-ins: end the balancer also if the script is ended by SIGTERM

Cause: a script that got SIGTERM left its balancer running. Change: SIGTERM raises SystemExit, so that the balancer is killed and the folder removed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -10,6 +10,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -401,6 +402,8 @@
     record = Record(Path(file).resolve().parent / "record.txt")
     record.write(f"trouble: {'yes' if HAS_TROUBLE else 'no'}")
     folder = Path(tempfile.mkdtemp(prefix="review-"))
+    # If the script itself is ended, it still ends the balancer.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         status = asyncio.run(_play(case, record, folder))
     finally:
