Testbed: the measured lag of an event loop is never negative

test_process_reports_list_versions_and_times failed now and then with -9.1e-13 >= 0: the lag is the difference of two rounded times, and a timer that fires exactly on time can be one rounding error early. The lag now has a lower bound of 0. test_loop_lag_is_never_negative forces the rounding; it failed before (lag -1.4e-14).

--- a/testbed/measurement/resource_usage.py
+++ b/testbed/measurement/resource_usage.py
@@ -19,6 +19,7 @@
 """The interval of the timer that measures the lag of an event loop, in seconds."""
 
 _NS_PER_S = 1e9
+_BYTES_PER_KIB = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +62,12 @@
     return ResourceUsage(total_processor_s, resident_bytes, descriptors)
 
 
+def peak_resident_bytes(pid: int) -> int:
+    """Return the largest resident memory that a process has had so far (`VmHWM`)."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    return int(status.partition("VmHWM:")[2].split()[0]) * _BYTES_PER_KIB
+
+
 class CoreMonitor:
     """Measures the utilization of the machine's cores since the creation of this object."""
 
@@ -103,7 +110,8 @@
 
     def _tick(self) -> None:
         now = self._loop.time()
-        self._lags.append(now - self._next_tick_at)
+        # The difference of two rounded times can be just below 0.
+        self._lags.append(max(now - self._next_tick_at, 0.0))
         self._next_tick_at = now + LAG_INTERVAL_S
         self._timer = self._loop.call_at(self._next_tick_at, self._tick)
 
--- a/tests/testbed/measurement/test_resource_usage.py
+++ b/tests/testbed/measurement/test_resource_usage.py
@@ -1,5 +1,6 @@
 """Resource usage of processes, utilization of cores and lag of event loops."""
 
+import math
 import os
 import subprocess
 import sys
@@ -56,6 +57,23 @@
     assert CoreMonitor().invalidity_reasons("rest") == []
 
 
+def test_loop_lag_is_never_negative() -> None:
+    """A timer that fires exactly on time can be early by a rounding error."""
+    calls: list[tuple[float, Callable[[], None]]] = []
+    loop: Any = SimpleNamespace(now=100.0, time=lambda: loop.now)
+
+    def call_at(scheduled_at: float, callback: Callable[[], None]) -> Any:
+        calls.append((scheduled_at, callback))
+        return SimpleNamespace(cancel=calls.clear)
+
+    loop.call_at = call_at
+    lag_monitor = LoopLagMonitor(loop)
+    scheduled_at, callback = calls.pop()
+    loop.now = math.nextafter(scheduled_at, 0.0)
+    callback()
+    assert lag_monitor.take_lag() == (0.0, 0.0)
+
+
 def test_loop_lag_is_timer_lateness() -> None:
     calls: list[tuple[float, Callable[[], None]]] = []
     loop: Any = SimpleNamespace(now=0.0, time=lambda: loop.now)
