--- a/testbed/settings.py
+++ b/testbed/settings.py
@@ -113,6 +113,7 @@
     *,
     seed: int,
     list_version: int = 0,
+    resource_limits: dict[str, Any] = RESOURCE_LIMITS,
 ) -> str:
     """Return the text of the file that `LB_CONFIG` names (DEPLOY page).
 
@@ -124,13 +125,14 @@
         settings: The balancer's settings, from `balancer_settings`.
         seed: The seed of its random numbers.
         list_version: The version of `cached_entries`.
+        resource_limits: The resource limits of the balancer.
     """
     configuration = {
         "name": name,
         "listen": format_address(listen),
         "discovery": format_address(discovery),
         "seed": f"{seed:016x}",
-        "limits": RESOURCE_LIMITS,
+        "limits": resource_limits,
         "known": {"index": list_version, "snapshot": True, "endpoints": list(cached_entries)},
         "settings": settings,
     }
