--- a/testbed/runs/hostile_clients.py
+++ b/testbed/runs/hostile_clients.py
@@ -140,7 +140,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Memory:
-    """Resident memory of the balancer: before, in the middle and at the end of the hostile load, and at most."""
+    """Resident memory: before, in the middle and at the end of the hostile load, and at most."""
 
     base_bytes: int
     middle_bytes: int
