--- a/loadbalancer/events.py
+++ b/loadbalancer/events.py
@@ -84,6 +84,7 @@
         is_client_retry: Whether the client marks the request as a retry. The policy does not use the mark:
             it infers a late retry from `remaining_ms`.
         cost_hint_ms: The expected processing time on one standard core; 0 if unknown.
+        memory_use: The used fraction of the host's memory budget; above 1 if it is exceeded.
     """
 
     request_id: int
@@ -92,6 +93,7 @@
     tenant: str | None = None
     is_client_retry: bool = False
     cost_hint_ms: float = 0.0
+    memory_use: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/loadbalancer/network/client/connection.py
+++ b/loadbalancer/network/client/connection.py
@@ -10,6 +10,7 @@
 from loadbalancer.network.client.pipeline import RequestPipeline
 from loadbalancer.network.client.request_reader import RequestReader
 from loadbalancer.network.client.transport import ClientTransport
+from loadbalancer.network.counters import CloseReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,13 +18,15 @@
     from loadbalancer.network.client.context import ConnectionContext
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """A client connection, composed of its transport, request reader, pipeline and timeouts.
 
     Attributes:
         expiry: Closes the connection when it has exceeded a timeout.
     """
 
+    __slots__ = ("_buffer_bytes", "_context", "_on_closed", "_pipeline", "_reader", "_transport", "expiry")
+
     def __init__(
         self,
         context: ConnectionContext,
@@ -40,11 +43,13 @@
             first_request_received_at: When the first request reached the kernel, if that was before the
                 connection was accepted; else None.
         """
+        self._context = context
+        self._buffer_bytes = 0
         self._on_closed = on_closed
         self._transport = ClientTransport(context.loop)
         self._reader = RequestReader(context.classes, connected_at, first_request_received_at)
         self._pipeline = RequestPipeline(context, self._transport, self._reader)
-        self.expiry = ConnectionExpiry(self._transport, self._reader, self._pipeline)
+        self.expiry = ConnectionExpiry(context.counters, self._transport, self._reader, self._pipeline)
 
     # ---- state ----------------------------------------------------------------------------------
 
@@ -53,6 +58,15 @@
         """The asyncio transport; None until the connection is set up."""
         return self._transport.asyncio_transport
 
+    @property
+    def state(self) -> str:
+        """The state of the connection in one word, for the log."""
+        if self._transport.discards_input:
+            return "closing"
+        if self._pipeline.has_open_request():
+            return "responding"
+        return "idle" if self.expiry.is_idle() else "receiving"
+
     @property
     def idle_since(self) -> float:
         """When the last response was written, or when the client connected if there has been none."""
@@ -70,7 +84,7 @@
 
     @property
     def is_reading_paused(self) -> bool:
-        """Whether reading is paused until pipelined requests have been responded to."""
+        """Whether reading is paused until there is room, or until the next turn."""
         return self._transport.is_reading_paused
 
     @property
@@ -82,6 +96,17 @@
         """Return whether no request is open, and a request is arriving or none has arrived yet."""
         return self.expiry.is_awaiting_request()
 
+    @property
+    def partial_request_bytes(self) -> int:
+        """Memory of an incomplete request; 0 if other requests are open, or may be in unparsed input."""
+        if self._reader.unparsed_bytes or not self.is_awaiting_request():
+            return 0
+        return self._reader.input_bytes
+
+    def give_up_partial_request(self) -> None:
+        """Refuse the incomplete request, and release its memory."""
+        self._pipeline.give_up_partial_request()
+
     def can_close_without_loss(self) -> bool:
         """Return whether the connection can be closed without losing a request."""
         return self.expiry.can_close_without_loss()
@@ -92,17 +117,28 @@
         """Attach the transport, from which the event loop now reads."""
         self._transport.attach(cast("asyncio.Transport", transport))
 
-    def data_received(self, data: bytes) -> None:
-        """Parse the input, or discard it after a rejection or a graceful close.
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """Return the buffer that all connections share; it is read out before the next read."""
+        buffer = self._context.next_read_buffer()
+        self._buffer_bytes = len(buffer)
+        return buffer
+
+    def buffer_updated(self, byte_count: int) -> None:
+        """Buffer and parse the input, or discard it after a rejection or a graceful close.
 
         Input is read even if it is discarded: unread input would make the kernel send a reset, which could
         overtake the last response.
         """
         if self._transport.discards_input:
-            self._transport.discard(data)
-        else:
-            self._reader.receive(data)
-            self._pipeline.parse_input()
+            self._transport.discard(byte_count)
+            return
+        unread_bytes: int | None = 0
+        if byte_count == self._buffer_bytes:
+            # The loop would read on at once, however much there is.
+            self._transport.pause_reading()
+            unread_bytes = self._transport.count_unread_bytes()
+        self._reader.receive(self._context.read_buffer[:byte_count], unread_bytes)
+        self._pipeline.handle_input()
 
     def eof_received(self) -> None:
         """Treat a client that closes its sending side as disconnected.
@@ -110,6 +146,7 @@
         The event loop closes the transport once the write buffer is empty. The timer aborts the connection
         if the buffer never becomes empty because the client does not read the response.
         """
+        self._context.counters.closes[CloseReason.BY_CLIENT] += 1
         self._disconnect()
         self._transport.schedule_abort(timeouts.WRITE_STALL_TIMEOUT_S)
 
@@ -121,7 +158,7 @@
 
     def resume_writing(self) -> None:
         """Handle the next request, since the previous response has left the write buffer."""
-        self._pipeline.advance()
+        self._pipeline.resume()
 
     def _disconnect(self) -> None:
         self._transport.is_disconnected = True
@@ -135,5 +172,6 @@
         return self.expiry.close_if_timed_out(now, request_timeout_s, idle_timeout_s)
 
     def close_gracefully(self) -> None:
-        """Close the sending side, then discard input for a short time; see `ClientTransport`."""
+        """Close the sending side at the shutdown, then discard input for a short time."""
+        self._context.counters.closes[CloseReason.SHUTDOWN] += 1
         self._transport.close_gracefully(timeouts.LINGER_TIMEOUT_S)
--- a/loadbalancer/network/client/connection_table.py
+++ b/loadbalancer/network/client/connection_table.py
@@ -8,6 +8,7 @@
 
 from loadbalancer.network.client.accept_queue import measure_queue_ages
 from loadbalancer.network.client.connection import ClientConnection
+from loadbalancer.network.memory_budget import CONNECTION_BYTES, HeldKind
 
 if TYPE_CHECKING:
     import asyncio
@@ -40,6 +41,10 @@
     def __contains__(self, connection: object) -> bool:
         return connection in self._connections
 
+    def states(self) -> Iterator[str]:
+        """Yield the state of each connection, for the log."""
+        return (connection.state for connection in self._connections)
+
     def add(self, accepted: socket.socket) -> None:
         """Add a connection for a newly accepted socket, and start to set it up."""
         accepted.settimeout(0.0)  # non-blocking
@@ -50,6 +55,7 @@
             self._context, self._remove, now - ages.connection_age_s, request_received_at
         )
         self._connections.add(connection)
+        self._context.budget.adjust(HeldKind.CONNECTIONS, CONNECTION_BYTES)
         task = self._context.loop.create_task(self.set_up_connection(connection, accepted))
         self._setup_tasks.add(task)
         task.add_done_callback(self._setup_tasks.discard)
@@ -63,5 +69,7 @@
             self._remove(connection)
 
     def _remove(self, connection: ClientConnection) -> None:
-        self._connections.discard(connection)
+        if connection in self._connections:
+            self._connections.remove(connection)
+            self._context.budget.adjust(HeldKind.CONNECTIONS, -CONNECTION_BYTES)
         self._on_closed()
--- a/loadbalancer/network/client/context.py
+++ b/loadbalancer/network/client/context.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -10,29 +10,22 @@
     from collections.abc import Callable
 
     from loadbalancer.network.client.incoming_request import RequestHandler
+    from loadbalancer.network.counters import ClientCounters
+    from loadbalancer.network.memory_budget import MemoryBudget
+    from loadbalancer.network.turn_scheduler import TurnScheduler
     from loadbalancer.settings import RequestClass
 
+READ_BYTES = 16_384
+"""Maximum number of bytes that are read from a connection in one turn."""
 
-class BufferAccount:
-    """Counts the bytes buffered for all clients together, and compares them with a limit.
+MIN_READ_BYTES = 512
+"""Number of bytes that are read from a connection in one turn if no memory is available."""
 
-    Attributes:
-        used_bytes: The number of bytes buffered now.
-        limit_bytes: The limit on `used_bytes`. Above it, the pipeline rejects the input of connections that
-            buffer more than `GUARANTEED_BUFFER_BYTES`.
-    """
-
-    def __init__(self, limit_bytes: int) -> None:
-        self.used_bytes = 0
-        self.limit_bytes = limit_bytes
+READ_FRACTION = 1 / 256
+"""Fraction of the available budget that is read from a connection in one turn, up to `READ_BYTES`.
 
-    def adjust(self, change_bytes: int) -> None:
-        """Change the number of buffered bytes; a negative change reduces it."""
-        self.used_bytes += change_bytes
-
-    def is_limit_exceeded(self) -> bool:
-        """Return whether more bytes are buffered than the limit allows."""
-        return self.used_bytes > self.limit_bytes
+All connections may become readable in the same turn.
+"""
 
 
 @dataclass(slots=True, eq=False, repr=False)
@@ -44,7 +37,11 @@
         handler: Receives the requests.
         log_exception: Logs a message together with the exception that is being handled.
         classes: The request classes of the settings, by name.
-        buffers: Counts the bytes that are buffered for all connections.
+        budget: Counts the memory that is held for peers.
+        counters: Counts what happens on client connections.
+        turns: Shares each turn of the event loop between the connections.
+        release_input: Gives up incomplete requests, the largest first, until the budget is less used.
+        read_buffer: Receives the input of each connection, one after another.
         is_shutting_down: Whether the listener is shutting down; health checks then fail, so that clients use
             another balancer.
         closes_connections: Whether each response closes the connection that it is sent on.
@@ -54,6 +51,15 @@
     handler: RequestHandler
     log_exception: Callable[[str], None]
     classes: dict[str, RequestClass]
-    buffers: BufferAccount
+    budget: MemoryBudget
+    counters: ClientCounters
+    turns: TurnScheduler
+    release_input: Callable[[], None]
+    read_buffer: memoryview = field(default_factory=lambda: memoryview(bytearray(READ_BYTES)))
     is_shutting_down: bool = False
     closes_connections: bool = False
+
+    def next_read_buffer(self) -> memoryview:
+        """Return the part of the read buffer into which the next input of a connection is read."""
+        read_bytes = int(self.budget.available_bytes * READ_FRACTION)
+        return self.read_buffer[: min(max(read_bytes, MIN_READ_BYTES), READ_BYTES)]
--- a/loadbalancer/network/client/eviction.py
+++ b/loadbalancer/network/client/eviction.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.network.client import timeouts
+from loadbalancer.network.memory_budget import HIGH_FRACTION
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Collection
 
     from loadbalancer.network.client.connection import ClientConnection
+    from loadbalancer.network.memory_budget import MemoryBudget
 
 EVICTION_DIVISOR = 4
 """An eviction closes connections that have exceeded a timeout until it has closed 1/4 of all connections.
@@ -21,6 +23,15 @@
 the longest idle ones.
 """
 
+RELEASE_TARGET_FRACTION = HIGH_FRACTION - 0.05
+"""Used fraction of the memory budget down to which incomplete requests are given up."""
+
+KEPT_REQUEST_BYTES = 512
+"""Incomplete requests up to this size are not given up: that would free hardly anything."""
+
+MIN_RELEASE_INTERVAL_S = 0.01
+"""Minimum time between two searches for incomplete requests, each of which looks at all connections."""
+
 
 class ConnectionEviction:
     """Closes the connections of a listener that have exceeded a timeout."""
@@ -29,6 +40,7 @@
         self._loop = loop
         self._connections = connections
         self._last_eviction_at = -math.inf
+        self._next_release_at = -math.inf
 
     def sweep(self) -> None:
         """Close connections that have exceeded a timeout; repeat this every `SWEEP_INTERVAL_S` seconds.
@@ -64,6 +76,24 @@
                 timeouts.IDLE_TIMEOUT_UNDER_PRESSURE_S,
             )
 
+    def release_input(self, budget: MemoryBudget) -> None:
+        """Give up incomplete requests, the largest first, until less of the budget is used.
+
+        Only connections are chosen on which no request is open. A call within `MIN_RELEASE_INTERVAL_S` of one
+        that freed too little has no effect.
+        """
+        now = time.monotonic()
+        if now < self._next_release_at:
+            return
+        held = [(connection.partial_request_bytes, connection) for connection in self._connections]
+        held.sort(key=lambda pair: pair[0], reverse=True)
+        for partial_bytes, connection in held:
+            if budget.used_fraction < RELEASE_TARGET_FRACTION or partial_bytes <= KEPT_REQUEST_BYTES:
+                break
+            connection.give_up_partial_request()
+        if budget.used_fraction >= RELEASE_TARGET_FRACTION:
+            self._next_release_at = now + MIN_RELEASE_INTERVAL_S
+
 
 def _eviction_sort_key(connection: ClientConnection) -> tuple[bool, float]:
     """Return a sort key: connections without a complete request first, then the longest idle ones."""
--- a/loadbalancer/network/client/expiry.py
+++ b/loadbalancer/network/client/expiry.py
@@ -6,11 +6,13 @@
 
 from loadbalancer.network.client import timeouts
 from loadbalancer.network.client.rejection import Rejection
+from loadbalancer.network.counters import CloseReason
 
 if TYPE_CHECKING:
     from loadbalancer.network.client.pipeline import RequestPipeline
     from loadbalancer.network.client.request_reader import RequestReader
     from loadbalancer.network.client.transport import ClientTransport
+    from loadbalancer.network.counters import ClientCounters
 
 REQUEST_TIMED_OUT = Rejection(408, "the request did not come to its end")
 
@@ -18,14 +20,24 @@
 class ConnectionExpiry:
     """Applies the timeouts for request arrival, idle time and unread responses to one connection."""
 
-    def __init__(self, transport: ClientTransport, reader: RequestReader, pipeline: RequestPipeline) -> None:
+    __slots__ = ("_closes", "_pipeline", "_reader", "_transport")
+
+    def __init__(
+        self,
+        counters: ClientCounters,
+        transport: ClientTransport,
+        reader: RequestReader,
+        pipeline: RequestPipeline,
+    ) -> None:
+        self._closes = counters.closes
         self._transport = transport
         self._reader = reader
         self._pipeline = pipeline
 
     def is_idle(self) -> bool:
         """Return whether no request is being handled, queued or arriving."""
-        return not self._pipeline.has_open_request() and not self._reader.arrival.is_arriving
+        has_input = self._reader.arrival.is_arriving or self._reader.unparsed_bytes
+        return not has_input and not self._pipeline.has_open_request()
 
     def is_awaiting_request(self) -> bool:
         """Return whether no request is open, and a request is arriving or none has arrived yet."""
@@ -66,6 +78,7 @@
         if self.is_idle():
             if now - self._pipeline.idle_since < idle_timeout_s or not self.can_close_without_loss():
                 return False
+            self._closes[CloseReason.IDLE_TIMEOUT] += 1
             self._transport.close_gracefully(timeouts.LINGER_TIMEOUT_S)
             return True
         self._abort_if_stalled(now)
@@ -82,6 +95,9 @@
         was_read_late = self._reader.last_received_at >= grace_ends_at
         if not was_read_late and self._transport.has_unread_bytes():
             return False
+        if self._reader.unparsed_bytes:
+            return False  # the rest of the request may have been read, and waits for its turn
+        self._closes[CloseReason.REQUEST_TIMEOUT] += 1
         if self._reader.has_partial_request:
             self._pipeline.reject(REQUEST_TIMED_OUT)
         else:
@@ -92,4 +108,5 @@
         """Abort if the client has stopped reading responses, since its queued requests cannot be handled."""
         stalled_s = now - self._pipeline.idle_since
         if self._pipeline.has_only_queued_requests() and stalled_s > timeouts.WRITE_STALL_TIMEOUT_S:
+            self._closes[CloseReason.UNREAD_RESPONSE] += 1
             self._transport.abort()
--- a/loadbalancer/network/client/incoming_request.py
+++ b/loadbalancer/network/client/incoming_request.py
@@ -27,7 +27,7 @@
         body: The body.
         received_at: When the request arrived (seconds of the monotonic clock).
         keep_alive: Whether the connection may stay open after the response.
-        size_bytes: The memory that the request occupies.
+        size_bytes: The memory that head and body occupy.
         number: The number by which the handler identifies the request; -1 until the handler assigns one.
     """
 
@@ -74,6 +74,21 @@
         return self._responder is None or self._responder.has_client_disconnected()
 
 
+class RefusedRequests:
+    """Complete requests in a row that are refused without being kept, since there is no memory for them.
+
+    Attributes:
+        count: The number of requests that await the refusal.
+        keep_alive: Whether the connection may stay open after the last of them.
+    """
+
+    __slots__ = ("count", "keep_alive")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.keep_alive = True
+
+
 class RequestHandler(Protocol):
     """Receives the requests of all client connections."""
 
--- a/loadbalancer/network/client/listener.py
+++ b/loadbalancer/network/client/listener.py
@@ -8,10 +8,13 @@
 
 from loadbalancer.network.client import timeouts
 from loadbalancer.network.client.connection_table import ConnectionTable
-from loadbalancer.network.client.context import BufferAccount, ConnectionContext
+from loadbalancer.network.client.context import ConnectionContext
 from loadbalancer.network.client.eviction import ConnectionEviction
 from loadbalancer.network.client.graceful_shutdown import GracefulShutdown
+from loadbalancer.network.counters import ClientCounters
+from loadbalancer.network.memory_budget import CONNECTION_BYTES
 from loadbalancer.network.sockets import RESERVED_DESCRIPTORS
+from loadbalancer.network.turn_scheduler import TurnScheduler
 
 if TYPE_CHECKING:
     import asyncio
@@ -19,17 +22,20 @@
 
     from loadbalancer.configuration import Configuration
     from loadbalancer.network.client.incoming_request import RequestHandler
+    from loadbalancer.network.memory_budget import MemoryBudget
 
 ACCEPT_BACKLOG = 2_048
 """Length of the kernel's accept queue, where clients wait instead of being refused while the loop is busy."""
 
-CLIENT_MEMORY_FRACTION = 1 / 12
-"""Fraction of the memory limit that may be used to buffer client input."""
+ACCEPTS_PER_TURN = 16
+"""Maximum number of connections that are accepted, or fail to be, in one turn of the event loop."""
+
+CONNECTIONS_MEMORY_FRACTION = 0.6
+"""Fraction of the memory budget that client connections without any input may occupy."""
 
 MIN_CONNECTION_LIMIT = 4
 """Lower bound of the connection limit, however few descriptors the configuration allows."""
 
-BYTES_PER_MB = 1 << 20
 MS_PER_S = 1000
 _RESOURCE_SHORTAGE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -53,6 +59,7 @@
         loop: asyncio.AbstractEventLoop,
         handler: RequestHandler,
         log_exception: Callable[[str], None],
+        budget: MemoryBudget,
     ) -> None:
         """Bind the socket; nothing is accepted before `start`.
 
@@ -61,13 +68,21 @@
             loop: The event loop.
             handler: Receives the requests.
             log_exception: Logs a message together with the exception that is being handled.
+            budget: Counts the memory that is held for peers.
         """
         self.loop = loop
-        self.context = _create_context(configuration, loop, handler, log_exception)
-        self.max_deadline_s = max(c.deadline_ms for c in configuration.settings.classes) / MS_PER_S
-        self.connection_limit = max(
-            configuration.descriptor_limit // 2 - RESERVED_DESCRIPTORS, MIN_CONNECTION_LIMIT
+        self.context = ConnectionContext(
+            loop,
+            handler,
+            log_exception,
+            classes={c.name: c for c in configuration.settings.classes},
+            budget=budget,
+            counters=ClientCounters(),
+            turns=TurnScheduler(loop),
+            release_input=self._release_input,
         )
+        self.max_deadline_s = max(c.deadline_ms for c in configuration.settings.classes) / MS_PER_S
+        self.connection_limit = _connection_limit(configuration, budget)
         self.connections = ConnectionTable(self.context, self._on_connection_closed)
         self.eviction = ConnectionEviction(loop, self.connections)
         self._is_accepting = False
@@ -97,10 +112,14 @@
     def accept_pending(self) -> bool:
         """Accept the connections in the kernel's accept queue, up to the connection limit.
 
+        At most `ACCEPTS_PER_TURN` are accepted; the loop calls this again in the next turn.
+
         Returns:
             Whether the queue is empty.
         """
-        while len(self.connections) < self.connection_limit:
+        for _ in range(ACCEPTS_PER_TURN):
+            if len(self.connections) >= self.connection_limit:
+                break
             try:
                 accepted, _ = self._socket.accept()
             except BlockingIOError:
@@ -110,12 +129,17 @@
                     break
                 continue
             self.connections.add(accepted)
+        else:
+            return False
         # The socket stays readable: an immediate retry would spin at the limit, or fail again.
         self.eviction.evict()
         self._stop_accepting()
         self.loop.call_later(timeouts.ACCEPT_RETRY_INTERVAL_S, self._resume_accepting)
         return False
 
+    def _release_input(self) -> None:
+        self.eviction.release_input(self.context.budget)
+
     def _on_connection_closed(self) -> None:
         if not self._is_accepting:
             self._resume_accepting()
@@ -131,20 +155,11 @@
             self.loop.remove_reader(self._socket)
 
 
-def _create_context(
-    configuration: Configuration,
-    loop: asyncio.AbstractEventLoop,
-    handler: RequestHandler,
-    log_exception: Callable[[str], None],
-) -> ConnectionContext:
-    limit_bytes = int(configuration.memory_limit_mb * CLIENT_MEMORY_FRACTION * BYTES_PER_MB)
-    return ConnectionContext(
-        loop,
-        handler,
-        log_exception,
-        classes={c.name: c for c in configuration.settings.classes},
-        buffers=BufferAccount(limit_bytes),
-    )
+def _connection_limit(configuration: Configuration, budget: MemoryBudget) -> int:
+    """Return how many client connections may be open, as far as descriptors and memory reach."""
+    by_descriptors = configuration.descriptor_limit // 2 - RESERVED_DESCRIPTORS
+    by_memory = int(budget.limit_bytes * CONNECTIONS_MEMORY_FRACTION / CONNECTION_BYTES)
+    return max(min(by_descriptors, by_memory), MIN_CONNECTION_LIMIT)
 
 
 def _bind(address: tuple[str, int]) -> socket.socket:
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
-from loadbalancer.network.client import timeouts
+from loadbalancer.network.client.incoming_request import RefusedRequests
+from loadbalancer.network.client.input_limits import InputLimits
 from loadbalancer.network.client.rejection import Rejection
-from loadbalancer.network.client.response_writer import serialize_response
+from loadbalancer.network.client.response_writer import ResponseWriter
+from loadbalancer.network.memory_budget import BudgetState
 
 if TYPE_CHECKING:
     from loadbalancer.network.client.context import ConnectionContext
@@ -16,10 +17,10 @@
     from loadbalancer.network.client.transport import ClientTransport
     from loadbalancer.network.headers import Headers
 
-GUARANTEED_BUFFER_BYTES = 16_384
-"""A connection may buffer this much even if the limit on the buffers of all clients is exceeded."""
+STEPS_PER_SHARE = 4
+"""Number of slices parsed and requests begun, together, in one share of a turn."""
 
-BUFFERS_FULL = Rejection(503, "too much is waiting here")
+NO_MEMORY = Rejection(503, "too much is waiting here")
 
 
 class RequestPipeline:
@@ -27,129 +28,189 @@
 
     Attributes:
         reader: Parses the input, and queues the requests.
-        idle_since: When the last response was written, or when the client connected if there has been none
-            (seconds of the monotonic clock).
     """
 
+    __slots__ = (
+        "_context",
+        "_current_request",
+        "_limits",
+        "_rejection",
+        "_transport",
+        "_writer",
+        "reader",
+    )
+
     def __init__(self, context: ConnectionContext, transport: ClientTransport, reader: RequestReader) -> None:
         self._context = context
         self._transport = transport
         self._current_request: IncomingRequest | None = None
         self._rejection: Rejection | None = None  # written after the responses to earlier requests
-        self._is_dispatching = False
-        self._accounted_bytes = 0  # bytes that this connection has added to the buffer account
+        self._limits = InputLimits(context.budget, reader, transport)
         self.reader = reader
-        self.idle_since = reader.arrival.started_at
+        self._writer = ResponseWriter(context, transport, reader.arrival.started_at)
+
+    @property
+    def idle_since(self) -> float:
+        """When the last response was written, or when the client connected if there has been none."""
+        return self._writer.idle_since
 
     def has_open_request(self) -> bool:
         """Return whether a request is being handled or is queued."""
-        return self._current_request is not None or bool(self.reader.requests)
+        return self._current_request is not None or bool(self.reader.queue)
 
     def has_only_queued_requests(self) -> bool:
         """Return whether requests are queued and none is being handled."""
-        return self._current_request is None and bool(self.reader.requests)
+        return self._current_request is None and bool(self.reader.queue)
 
     def has_client_disconnected(self) -> bool:
         """Return whether the client has closed the connection, or its sending side."""
         return self._transport.has_client_disconnected()
 
-    def parse_input(self) -> None:
-        """Parse the received bytes, up to the limit on queued requests."""
-        self._update_buffer_account()
-        # Without this limit, many clients together could exhaust the memory.
-        if self._context.buffers.is_limit_exceeded() and self._accounted_bytes > GUARANTEED_BUFFER_BYTES:
-            self.reject(BUFFERS_FULL)
-        while not self._transport.discards_input and self.reader.can_parse():
-            rejection = self.reader.parse_slice()
-            if rejection is not None:
-                self.reject(rejection)
-            self.advance()
+    def handle_input(self) -> None:
+        """Parse input that has just been received, or ask for a share of a later turn."""
+        self._limits.account()
+        if self._context.budget.state is not BudgetState.NORMAL:
+            self._context.release_input()
+        self._context.turns.request_share(self)
+
+    def resume(self) -> None:
+        """Handle the next request, since the previous response has left the write buffer."""
+        self._context.turns.request_share(self)
+
+    def run_share(self) -> bool:
+        """Begin requests and parse input, up to `STEPS_PER_SHARE`; return whether there is more to do now."""
+        if not self._transport.is_open:
+            return False
+        for _ in range(STEPS_PER_SHARE):
+            self._limits.apply()
+            if not self._begin_next() and not self._parse_next():
+                break
+        if not self._transport.is_open:
+            return False
         if self._transport.discards_input:
             # Input that follows a request with `Connection: close` must not be parsed: a response to it would
             # be written after the end of the connection.
             self.reader.discard_unparsed()
-        self._update_buffer_account()
-        if self.reader.has_unparsed_input:
-            self._transport.pause_reading()
+        self._limits.account()
+        self._limits.pause_or_resume_reading()
+        return self._can_begin() or self._can_parse()
+
+    def _can_parse(self) -> bool:
+        return self.reader.can_parse() and (self._current_request is None or self.reader.is_refusing)
+
+    def _can_begin(self) -> bool:
+        """Return whether the first request of the queue may begin, as far as is known without a system call.
+
+        At most one response is buffered for a client that sends requests and never reads responses.
+        """
+        if not self.has_only_queued_requests() or self._transport.has_unsent_bytes():
+            return False
+        return self.reader.estimate.is_caught_up or _is_answered_here(self.reader.queue[0])
+
+    def _begin_next(self) -> bool:
+        """Begin the first request of the queue; return false if none may begin now."""
+        if self._current_request is not None or self._transport.has_unsent_bytes():
+            return False
+        if not self.reader.queue:
+            if self._rejection is not None:
+                self._writer.write_rejection(self._rejection, is_final=True)
+                self._rejection = None
+            return False
+        first = self.reader.queue[0]
+        if isinstance(first, RefusedRequests):
+            self._refuse(first)
+            return True
+        # The end of the connection may follow input that is still unread: the client may have gone.
+        if not _is_answered_here(first) and not self._limits.is_input_read():
+            return False
+        request = self.reader.take_request()
+        request.set_responder(self)
+        self._current_request = request
+        self._handle_request(request)
+        return True
+
+    def _parse_next(self) -> bool:
+        """Parse a slice of the input; return false if there is none to parse now."""
+        if self._transport.discards_input or not self._can_parse():
+            return False
+        rejection = self.reader.parse_slice()
+        if rejection is not None:
+            self.reject(rejection)
+        return True
 
-    def advance(self) -> None:
-        """Handle the next requests, then write a rejection that follows them, or resume reading."""
-        if self._is_dispatching or not self._transport.is_open:
+    def _handle_request(self, request: IncomingRequest) -> None:
+        if request.head.is_health_check():
+            _respond_to_health_check(request, is_shutting_down=self._context.is_shutting_down)
             return
-        self._dispatch_requests()
-        rejection = self._rejection
-        if rejection is not None and not self.has_open_request():
-            self._rejection = None
-            self._write_response(rejection.status, [], rejection.reason.encode() + b"\n", is_final=True)
-        elif self._may_resume_reading():
-            self._transport.resume_reading()
-            self._context.loop.call_soon(self.parse_input)
+        try:
+            self._context.handler.handle_request(request)
+        except Exception:  # noqa: BLE001  the client must receive a response after any error
+            self._context.log_exception("a request could not be handled")
+            request.respond(500)
 
     def respond(self, request: IncomingRequest, status: int, headers: Headers, body: bytes) -> None:
         """Write the final response to the current request; a response to any other request is dropped."""
         if self._transport.is_disconnected or request is not self._current_request:
             return
         self._current_request = None
-        is_last = not self.reader.requests and self._rejection is None
-        should_close = self._context.closes_connections or not request.keep_alive
-        self._write_response(status, headers, body, is_final=is_last and should_close)
-        self._update_buffer_account()
-        self.advance()
+        self._writer.write(status, headers, body, is_final=self._is_final(keep_alive=request.keep_alive))
+        self._limits.account()
+        self._context.turns.request_share(self)
 
     def reject(self, rejection: Rejection) -> None:
         """Discard further input; write the rejection after the responses to all earlier requests."""
         self._transport.discards_input = True
         self._rejection = rejection
         self.reader.discard_input()
-        self.advance()
+        self._limits.account()
+        self._context.turns.request_share(self)
+
+    def give_up_partial_request(self) -> None:
+        """Release the memory of the incomplete request, which is refused.
+
+        The rest of a body is still read, so that the requests behind it get their responses. A head can't be
+        released without its end, so it ends the connection.
+        """
+        self._context.counters.refused_for_memory += 1
+        if self.reader.has_partial_head:
+            self.reject(NO_MEMORY)
+        else:
+            self.reader.start_refusing()
+            self._limits.account()
 
     def drop_requests(self) -> None:
         """Drop all requests after a disconnect, and notify the handler if it is handling one of them."""
         request = self._current_request
         self._current_request = None
         self.reader.close()
-        self._update_buffer_account()
+        self._limits.release()
         if request is not None:
             request.suppress_response()
             self._context.handler.handle_disconnect(request)
 
-    def _may_resume_reading(self) -> bool:
-        is_paused = self._transport.is_reading_paused and self._transport.is_open
-        return is_paused and self.reader.can_resume_reading()
+    def _is_final(self, *, keep_alive: bool) -> bool:
+        """Return whether the response that is about to be written ends the connection."""
+        if self.reader.queue or self._rejection is not None:
+            return False
+        if not keep_alive:
+            return True
+        # Requests that were received before the response is written must get theirs too.
+        is_all_parsed = not self.reader.unparsed_bytes and self._limits.is_input_read()
+        return self._context.closes_connections and is_all_parsed
 
-    def _dispatch_requests(self) -> None:
-        self._is_dispatching = True
-        try:
-            # At most one response is buffered for a client that sends requests and never reads responses.
-            while self.has_only_queued_requests() and not self._transport.has_unsent_bytes():
-                request = self.reader.requests.popleft()
-                request.set_responder(self)
-                self._current_request = request
-                self._handle_request(request)
-        finally:
-            self._is_dispatching = False
+    def _refuse(self, refused: RefusedRequests) -> None:
+        """Respond to the first request of the queue, for which there was no memory."""
+        keep_alive = self.reader.take_refused_request(refused)
+        self._context.counters.refused_for_memory += 1
+        self._writer.write_rejection(NO_MEMORY, is_final=self._is_final(keep_alive=keep_alive))
+
+
+def _is_answered_here(request: IncomingRequest | RefusedRequests) -> bool:
+    """Return whether a request reaches no upstream."""
+    return isinstance(request, RefusedRequests) or request.head.is_health_check()
 
-    def _handle_request(self, request: IncomingRequest) -> None:
-        if request.head.is_health_check():
-            # Health checks fail during the shutdown, so that clients that rely on them use another balancer.
-            is_shutting_down = self._context.is_shutting_down
-            status, body = (503, b"ending\n") if is_shutting_down else (200, b"ok\n")
-            request.respond(status, body=body)
-            return
-        try:
-            self._context.handler.handle_request(request)
-        except Exception:  # noqa: BLE001  the client must receive a response after any error
-            self._context.log_exception("a request could not be handled")
-            request.respond(500)
 
-    def _write_response(self, status: int, headers: Headers, body: bytes, *, is_final: bool) -> None:
-        self.idle_since = time.monotonic()
-        self._transport.write(serialize_response(status, headers, body, closes_connection=is_final))
-        if is_final:
-            self._transport.close_gracefully(timeouts.LINGER_TIMEOUT_S)
-
-    def _update_buffer_account(self) -> None:
-        current_bytes = self._current_request.size_bytes if self._current_request is not None else 0
-        buffered_bytes = self.reader.buffered_bytes + current_bytes
-        self._context.buffers.adjust(buffered_bytes - self._accounted_bytes)
-        self._accounted_bytes = buffered_bytes
+def _respond_to_health_check(request: IncomingRequest, *, is_shutting_down: bool) -> None:
+    """Respond to a health check; it fails during the shutdown, so that clients use another balancer."""
+    status, body = (503, b"ending\n") if is_shutting_down else (200, b"ok\n")
+    request.respond(status, body=body)
--- a/loadbalancer/network/client/request_head.py
+++ b/loadbalancer/network/client/request_head.py
@@ -72,6 +72,9 @@
         return _is_health_check(self.method, self.target)
 
 
+_REFUSED_HEAD = RequestHead(b"", b"")
+
+
 def read_request_head(
     method: bytes, target: bytes, headers: Headers, classes: dict[str, RequestClass]
 ) -> RequestHead:
@@ -114,6 +117,22 @@
     )
 
 
+def read_refused_head(headers: Headers) -> RequestHead:
+    """Check only the framing of a request that is refused, so that its end is found; return an empty head.
+
+    Args:
+        headers: The headers, with names in lower case.
+
+    Raises:
+        RequestRejectedError: The length of the body is not certain.
+    """
+    header_map = dict(headers)
+    if len(header_map) < len(headers):
+        _check_unique_headers(headers)
+    _check_body_framing(header_map)
+    return _REFUSED_HEAD
+
+
 def parse_deadline_ms(text: bytes) -> float | None:
     """Parse a value of X-Deadline: a number and a unit.
 
--- a/loadbalancer/network/client/request_reader.py
+++ b/loadbalancer/network/client/request_reader.py
@@ -4,103 +4,148 @@
 
 import math
 import time
-from collections import deque
 from typing import TYPE_CHECKING
 
+from loadbalancer.errors import InvalidStateError
+from loadbalancer.network.client.incoming_request import IncomingRequest, RefusedRequests
+from loadbalancer.network.client.receive_buffer import ArrivalEstimate, ReceiveBuffer
 from loadbalancer.network.client.request_arrival import RequestArrival
 from loadbalancer.network.client.request_parser import HEAD_TOO_LARGE, RequestParser
 from loadbalancer.network.headers import MAX_HEAD_BYTES
+from loadbalancer.network.memory_budget import HEADER_FIELD_BYTES, QUEUED_REQUEST_BYTES
 
 if TYPE_CHECKING:
-    from loadbalancer.network.client.incoming_request import IncomingRequest
     from loadbalancer.network.client.rejection import Rejection
     from loadbalancer.settings import RequestClass
 
-MAX_PIPELINED_REQUESTS = 16
-"""Limit on the queued requests of one connection; no input is parsed while it is exceeded."""
+HEAD_SLICE_BYTES = 512
+"""Number of bytes parsed at a time, unless they belong to a body; they may contain several requests."""
 
-SLICE_BYTES = 8_192
-"""Number of bytes parsed at a time; they may contain more than `MAX_PIPELINED_REQUESTS` requests."""
+BODY_SLICE_BYTES = 8_192
+"""Number of bytes parsed at a time within a body."""
+
+
+class RefusedRequestTakenError(InvalidStateError):
+    """A refused request was taken from the queue as if it were one to handle."""
 
 
 class RequestReader:
     """Buffers the bytes of one connection and parses them into requests, a slice at a time.
 
     The pipeline passes bytes to `receive`, calls `parse_slice` while `can_parse` returns true, and removes
-    complete requests from `requests`. After a rejection it calls `discard_input` and parses no further.
+    complete requests from the queue. After a rejection it calls `discard_input` and parses no further.
 
     Attributes:
-        requests: The complete requests that have not been removed yet, the oldest first.
+        queue: The complete requests that have not been removed yet, the oldest first.
         arrival: Tracks when the current request began to arrive, and whether it is complete.
+        estimate: Estimates when input arrived that was left in the kernel.
         last_received_at: When bytes were last received (seconds of the monotonic clock); -inf if none have
             been received.
     """
 
+    __slots__ = (
+        "_buffer",
+        "_parser",
+        "_partial_bytes",
+        "_queued_bytes",
+        "arrival",
+        "estimate",
+        "last_received_at",
+        "queue",
+    )
+
     def __init__(
         self,
         classes: dict[str, RequestClass],
         connected_at: float,
-        first_request_received_at: float | None,
+        first_arrived_at: float | None,
     ) -> None:
         """Create a reader.
 
         Args:
             classes: The request classes of the settings, by name.
             connected_at: When the client connected (seconds of the monotonic clock).
-            first_request_received_at: When the first request reached the kernel, if that was before the
-                connection was accepted; else None.
+            first_arrived_at: When the first input reached the kernel, if that was before the connection was
+                accepted; else None.
         """
-        self.requests: deque[IncomingRequest] = deque()
-        self.arrival = RequestArrival(connected_at, first_request_received_at)
+        self.queue: list[IncomingRequest | RefusedRequests] = []
+        self.arrival = RequestArrival(connected_at)
+        self.estimate = ArrivalEstimate(first_arrived_at)
         self.last_received_at = -math.inf
-        self._parser = RequestParser(classes, self.arrival, self.requests.append)
-        self._unparsed = b""
+        self._parser = RequestParser(classes, self.arrival, self._add_request)
+        self._buffer = ReceiveBuffer()
         self._partial_bytes = 0  # parsed bytes of a request that is not complete
+        self._queued_bytes = 0
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether requests that are parsed from now on are refused instead of queued."""
+        return self._parser.is_refusing
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Number of bytes that are read and not parsed."""
+        return len(self._buffer)
 
     @property
-    def buffered_bytes(self) -> int:
-        """Number of bytes buffered: unparsed input, the incomplete request, and queued requests."""
-        return len(self._unparsed) + self._partial_bytes + sum(r.size_bytes for r in self.requests)
+    def input_bytes(self) -> int:
+        """Memory that unparsed input and the incomplete request occupy."""
+        if self._parser.is_discarding_body:
+            return len(self._buffer)
+        return len(self._buffer) + self._partial_bytes + self._parser.partial_field_count * HEADER_FIELD_BYTES
 
     @property
-    def has_unparsed_input(self) -> bool:
-        """Whether bytes were received that are not parsed yet."""
-        return bool(self._unparsed)
+    def queued_bytes(self) -> int:
+        """Memory that the queued requests occupy."""
+        return self._queued_bytes
 
     @property
     def has_partial_request(self) -> bool:
         """Whether bytes were received that do not make up a complete request yet."""
-        return bool(self._partial_bytes or self._unparsed)
+        return bool(self._partial_bytes or len(self._buffer))
+
+    @property
+    def has_partial_head(self) -> bool:
+        """Whether the head of a request has begun to arrive and is not complete."""
+        return self.arrival.is_arriving and not self._parser.has_complete_head
 
     def can_parse(self) -> bool:
-        """Return whether there is unparsed input, and `MAX_PIPELINED_REQUESTS` is not exceeded."""
-        return bool(self._unparsed) and len(self.requests) <= MAX_PIPELINED_REQUESTS
+        """Return whether there is unparsed input, and no parsed request that waits to be handled.
+
+        A parsed request occupies far more memory than its bytes, so it is parsed only once it may begin.
+        Refused ones occupy none.
+        """
+        if not len(self._buffer):
+            return False
+        return self.is_refusing or (not self.queue and self.estimate.is_caught_up)
 
-    def can_resume_reading(self) -> bool:
-        """Return whether the queue is short enough to resume reading after a pause."""
-        return len(self.requests) <= MAX_PIPELINED_REQUESTS // 2
+    def receive(self, data: bytes | memoryview, unread_bytes: int | None) -> None:
+        """Buffer bytes of the connection; nothing is parsed yet.
 
-    def receive(self, data: bytes) -> None:
-        """Buffer bytes of the connection; nothing is parsed yet."""
+        Args:
+            data: The bytes.
+            unread_bytes: The number of bytes that the kernel still holds; None if it is not known.
+        """
         self.last_received_at = time.monotonic()
-        if not self.arrival.is_arriving and not self._unparsed:
+        if not self.arrival.is_arriving and not len(self._buffer):
             self.arrival.record_first_byte(self.last_received_at)
-        self._unparsed += data
+        arrived_at = self.estimate.record_read(len(data), self.last_received_at, unread_bytes)
+        self._buffer.append(data, arrived_at)
 
     def parse_slice(self) -> Rejection | None:
-        """Parse the next slice of the input; complete requests are appended to `requests`.
+        """Parse the next slice of the input; complete requests are appended to the queue.
 
         Returns:
             The rejection of the request that is being read, if it is not acceptable.
         """
-        data = self._unparsed[:SLICE_BYTES]
-        self._unparsed = self._unparsed[SLICE_BYTES:]
+        max_bytes = BODY_SLICE_BYTES if self._parser.has_complete_head else HEAD_SLICE_BYTES
+        data, self.arrival.input_arrived_at = self._buffer.take(max_bytes)
         self._partial_bytes += len(data)
-        previous_queue_length = len(self.requests)
+        completed_count = self._parser.completed_count
         rejection = self._parser.feed(data)
         if rejection is not None:
             return rejection
-        if len(self.requests) > previous_queue_length:
+        if self._parser.completed_count > completed_count:
             # A request ended in this slice, so any incomplete one lies within the slice.
             self._partial_bytes = len(data) if self.arrival.is_arriving else 0
         elif self._partial_bytes - self._parser.partial_body_bytes > MAX_HEAD_BYTES:
@@ -108,18 +153,55 @@
             return HEAD_TOO_LARGE
         return None
 
+    def take_request(self) -> IncomingRequest:
+        """Remove and return the first request of the queue, which must not be a refused one."""
+        request = self.queue.pop(0)
+        if isinstance(request, RefusedRequests):
+            raise RefusedRequestTakenError
+        self._queued_bytes -= request.size_bytes + QUEUED_REQUEST_BYTES
+        return request
+
+    def take_refused_request(self, refused: RefusedRequests) -> bool:
+        """Remove one refused request, the first of the queue; return whether the connection may stay open."""
+        refused.count -= 1
+        if refused.count:
+            return True
+        del self.queue[0]
+        return refused.keep_alive
+
+    def start_refusing(self) -> None:
+        """Refuse the incomplete request and all that follow, and release the body that has been received."""
+        self._parser.start_refusing()
+
+    def stop_refusing(self) -> None:
+        """Queue the requests that begin from now on; the incomplete one is still refused."""
+        self._parser.is_refusing = False
+
     def discard_unparsed(self) -> None:
         """Drop the input that is not parsed yet."""
-        self._unparsed = b""
+        self._buffer.clear()
 
     def discard_input(self) -> None:
         """Drop the unparsed input and the incomplete request; nothing may be parsed afterwards."""
         self.discard_unparsed()
         self._partial_bytes = 0
-        self._parser.discard_partial_request()
+        self._parser.close()
 
     def close(self) -> None:
         """Drop all input and all requests; nothing may be parsed afterwards."""
         self.discard_input()
-        self.requests.clear()
-        self._parser.close()
+        self.queue.clear()
+        self._queued_bytes = 0
+
+    def _add_request(self, request: IncomingRequest | None) -> None:
+        """Queue a complete request; None stands for one whose body was discarded."""
+        if request is not None:
+            self.queue.append(request)
+            self._queued_bytes += request.size_bytes + QUEUED_REQUEST_BYTES
+            return
+        last = self.queue[-1] if self.queue else None
+        if not isinstance(last, RefusedRequests):
+            last = RefusedRequests()
+            self.queue.append(last)
+        last.count += 1
+        last.keep_alive = self._parser.keep_alive
--- a/loadbalancer/network/client/response_writer.py
+++ b/loadbalancer/network/client/response_writer.py
@@ -1,10 +1,17 @@
-"""Serialization of responses to clients."""
+"""Writes responses to one client connection, and closes it after the last one."""
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
+from loadbalancer.network.client import timeouts
+from loadbalancer.network.counters import CloseReason
+
 if TYPE_CHECKING:
+    from loadbalancer.network.client.context import ConnectionContext
+    from loadbalancer.network.client.rejection import Rejection
+    from loadbalancer.network.client.transport import ClientTransport
     from loadbalancer.network.headers import Headers
 
 _REASON_PHRASES = {
@@ -37,3 +44,34 @@
     parts.append(b"Connection: close\r\n\r\n" if closes_connection else b"\r\n")
     parts.append(body)
     return b"".join(parts)
+
+
+class ResponseWriter:
+    """Writes the responses of one connection.
+
+    Attributes:
+        idle_since: When the last response was written, or when the client connected if there has been none
+            (seconds of the monotonic clock).
+    """
+
+    __slots__ = ("_context", "_transport", "idle_since")
+
+    def __init__(self, context: ConnectionContext, transport: ClientTransport, connected_at: float) -> None:
+        self._context = context
+        self._transport = transport
+        self.idle_since = connected_at
+
+    def write(self, status: int, headers: Headers, body: bytes, *, is_final: bool) -> None:
+        """Write a response; close the connection after it if it is the final one."""
+        self.idle_since = time.monotonic()
+        counters = self._context.counters
+        counters.responses[status] += 1
+        self._transport.write(serialize_response(status, headers, body, closes_connection=is_final))
+        if is_final:
+            is_shutdown = self._context.closes_connections
+            counters.closes[CloseReason.SHUTDOWN if is_shutdown else CloseReason.FINAL_RESPONSE] += 1
+            self._transport.close_gracefully(timeouts.LINGER_TIMEOUT_S)
+
+    def write_rejection(self, rejection: Rejection, *, is_final: bool) -> None:
+        """Write the response to a request that is not accepted."""
+        self.write(rejection.status, [], rejection.reason.encode() + b"\n", is_final=is_final)
--- a/loadbalancer/network/client/transport.py
+++ b/loadbalancer/network/client/transport.py
@@ -5,7 +5,7 @@
 import select
 from typing import TYPE_CHECKING
 
-from loadbalancer.network.sockets import peek, set_no_delay, shutdown_write
+from loadbalancer.network.sockets import count_unread_bytes, peek, set_no_delay, shutdown_write
 
 if TYPE_CHECKING:
     import asyncio
@@ -23,9 +23,19 @@
         discards_input: Whether bytes that still arrive are discarded: the connection is closing, or its
             input was rejected.
         is_disconnected: Whether the client has closed the connection, or its sending side.
-        is_reading_paused: Whether reading is paused until pipelined requests have been responded to.
+        is_reading_paused: Whether reading is paused until there is room, or until the next turn.
     """
 
+    __slots__ = (
+        "_abort_timer",
+        "_discarded_bytes",
+        "_loop",
+        "_transport",
+        "discards_input",
+        "is_disconnected",
+        "is_reading_paused",
+    )
+
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self._transport: asyncio.Transport | None = None
@@ -61,7 +71,20 @@
 
     def has_unsent_bytes(self) -> bool:
         """Return whether written bytes are still in the write buffer of the transport."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The number of written bytes that are still in the write buffer of the transport."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+    def is_input_empty(self) -> bool:
+        """Return whether the connection is up and the kernel holds no bytes that the loop has not read."""
+        return self._transport is not None and peek(self._transport) is None
+
+    def count_unread_bytes(self) -> int | None:
+        """Return the number of bytes that the kernel holds and the loop has not read; None if unknown."""
+        return count_unread_bytes(self._transport) if self._transport is not None else None
 
     def has_unread_bytes(self) -> bool:
         """Return whether the kernel holds bytes of the client that the loop has not read."""
@@ -99,9 +122,9 @@
             self.is_reading_paused = False
             self._transport.resume_reading()
 
-    def discard(self, data: bytes) -> None:
+    def discard(self, byte_count: int) -> None:
         """Discard input; once more than `MAX_LINGER_BYTES` have been discarded, nothing more is read."""
-        self._discarded_bytes += len(data)
+        self._discarded_bytes += byte_count
         is_limit_exceeded = self._discarded_bytes > MAX_LINGER_BYTES
         if is_limit_exceeded and self._transport is not None and not self.is_disconnected:
             self._transport.pause_reading()
--- a/loadbalancer/network/headers.py
+++ b/loadbalancer/network/headers.py
@@ -11,6 +11,9 @@
 This includes the start line, headers, chunk framing and interim responses.
 """
 
+MAX_HEADER_FIELDS = 100
+"""Maximum number of header fields of a request or response; a field costs far more memory than its text."""
+
 _HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
--- a/loadbalancer/network/open_requests.py
+++ b/loadbalancer/network/open_requests.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from loadbalancer.network.memory_budget import OPEN_REQUEST_BYTES, HeldKind
 from loadbalancer.network.request_ids import RequestIds
 
 if TYPE_CHECKING:
@@ -12,6 +13,7 @@
 
     from loadbalancer.network.client.incoming_request import IncomingRequest
     from loadbalancer.network.headers import Headers
+    from loadbalancer.network.memory_budget import MemoryBudget
     from loadbalancer.network.upstream.attempt import UpstreamAttempt
 
 
@@ -86,9 +88,14 @@
 
 
 class OpenRequests:
-    """Holds the accepted requests by number until they are finished, and the request ids in use."""
+    """Holds the accepted requests by number until they are finished, and the request ids in use.
 
-    def __init__(self) -> None:
+    Args:
+        budget: Counts the memory that is held for peers.
+    """
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self._budget = budget
         self._by_number: dict[int, ProxiedRequest] = {}
         self._ids = RequestIds()
         self._last_number = 0
@@ -119,10 +126,13 @@
         request = ProxiedRequest(self._last_number, incoming, expires_at_ms)
         incoming.number = request.number
         self._by_number[request.number] = request
+        self._budget.adjust(HeldKind.OPEN_REQUESTS, incoming.size_bytes + OPEN_REQUEST_BYTES)
         return request
 
     def remove_if_finished(self, request: ProxiedRequest) -> None:
         """Remove a request if it is finished."""
         if request.is_finished():
-            self._by_number.pop(request.number, None)
+            if self._by_number.pop(request.number, None) is not None:
+                held_bytes = request.incoming.size_bytes + OPEN_REQUEST_BYTES
+                self._budget.adjust(HeldKind.OPEN_REQUESTS, -held_bytes)
             self._ids.finish(request.incoming.head.request_id)
--- a/loadbalancer/network/proxy.py
+++ b/loadbalancer/network/proxy.py
@@ -14,7 +14,10 @@
 from loadbalancer.network.endpoint_list_updater import EndpointListUpdater
 from loadbalancer.network.event_dispatcher import EventDispatcher
 from loadbalancer.network.log import RateLimitedLog
+from loadbalancer.network.memory_budget import MemoryBudget
+from loadbalancer.network.memory_monitor import MemoryMonitor
 from loadbalancer.network.open_requests import OpenRequests
+from loadbalancer.network.resident_memory import resident_bytes
 from loadbalancer.network.upstream.attempt_factory import UpstreamAttemptFactory
 from loadbalancer.network.upstream.attempt_runner import AttemptRunner
 from loadbalancer.network.upstream.health_checks import HealthChecks
@@ -46,6 +49,7 @@
         listener: Accepts clients and holds their connections.
         endpoint_watch: Watches the endpoint list of discovery.
         dispatcher: Passes events to the policy.
+        budget: Counts the memory that is held for peers.
     """
 
     def __init__(
@@ -65,9 +69,17 @@
         self.log = RateLimitedLog(configuration.name or "balancer")
         self.clock = Clock()
         self.balancer = LoadBalancer(configuration.settings, configuration.seed)
-        self.upstream_pools = UpstreamPools(configuration, loop)
-        self.listener = Listener(configuration, loop, self, self.log.exception)
-        self._requests = OpenRequests()
+        self.budget = MemoryBudget.for_process(configuration.memory_limit_mb, resident_bytes())
+        self.upstream_pools = UpstreamPools(configuration, loop, self.budget)
+        self.listener = Listener(configuration, loop, self, self.log.exception, self.budget)
+        self._memory_monitor = MemoryMonitor(
+            configuration.memory_limit_mb,
+            self.budget,
+            self.listener.context.counters,
+            self.listener.connections.states,
+            self.log.write,
+        )
+        self._requests = OpenRequests(self.budget)
         self.dispatcher = EventDispatcher(self.balancer, self.clock, self._requests, self.log)
         self._endpoint_list_updater = EndpointListUpdater(
             self.upstream_pools, self.dispatcher.dispatch, on_endpoints_applied
@@ -107,6 +119,7 @@
         self._endpoint_list_updater.apply_cached(self._known_endpoints)
         self.endpoint_watch.start_if_lists_are_pushed()
         self._close_expired_connections()
+        self._memory_monitor.start(self._loop)
         if accepts_clients:
             self.listener.start()
 
@@ -134,6 +147,7 @@
         budget_ms = incoming.head.deadline_ms - waited_ms
         request = self._requests.add(incoming, self.clock.now() + budget_ms - POLICY_DEADLINE_MARGIN_MS)
         if request is None:
+            self.listener.context.counters.duplicate_ids += 1
             incoming.respond(409, body=b"this id is in use\n")
             return
         self._watchdog.watch(request, budget_ms)
@@ -144,6 +158,7 @@
             incoming.head.tenant,
             incoming.head.is_client_retry,
             incoming.head.cost_hint_ms,
+            self.budget.used_fraction,
         )
         self.dispatcher.dispatch(event, request)
 
--- a/loadbalancer/network/request_ids.py
+++ b/loadbalancer/network/request_ids.py
@@ -20,9 +20,9 @@
     """
 
     def __init__(self) -> None:
-        self._open: set[bytes] = set()
-        self._recent: set[bytes] = set()
-        self._older: set[bytes] = set()
+        self._open: set[int] = set()
+        self._recent: set[int] = set()
+        self._older: set[int] = set()
         self._generation_started_at_s = time.monotonic()
 
     @property
@@ -37,18 +37,20 @@
 
     def add(self, request_id: bytes) -> bool:
         """Add the id of a new request; return false if the id is in use."""
-        if request_id in self._open or request_id in self._recent or request_id in self._older:
+        key = hash(request_id)
+        if key in self._open or key in self._recent or key in self._older:
             return False
-        self._open.add(request_id)
+        self._open.add(key)
         return True
 
     def finish(self, request_id: bytes) -> None:
         """Mark the id of an open request as finished; the request must have no running attempt."""
-        self._open.discard(request_id)
+        key = hash(request_id)
+        self._open.discard(key)
         now_s = time.monotonic()
         age_s = now_s - self._generation_started_at_s
         if len(self._recent) >= MAX_FINISHED_IDS or age_s > GENERATION_S:
             self._older = self._recent if age_s <= 2 * GENERATION_S else set()
             self._recent = set()
             self._generation_started_at_s = now_s
-        self._recent.add(request_id)
+        self._recent.add(key)
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -5,7 +5,8 @@
 import httptools
 
 from loadbalancer.network.errors import InvalidResponseError
-from loadbalancer.network.headers import MAX_BODY_BYTES, MAX_HEAD_BYTES, Headers
+from loadbalancer.network.headers import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADER_FIELDS, Headers
+from loadbalancer.network.memory_budget import HEADER_FIELD_BYTES
 
 _MAX_LENGTH_DIGITS = 19
 """Maximum number of digits of a Content-Length, checked before it is converted to an integer."""
@@ -59,6 +60,11 @@
         """Whether the connection may be reused for another request."""
         return self._may_reuse
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the incomplete response occupies."""
+        return self._header_bytes + len(self._headers) * HEADER_FIELD_BYTES + len(self._body)
+
     def feed(self, data: bytes) -> Response | None:
         """Parse the next bytes received on the connection.
 
@@ -92,14 +98,14 @@
         if self._response is not None:
             raise InvalidResponseError(_MORE_THAN_ONE_RESPONSE)
         self._headers: Headers = []
-        self._body_parts: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._header_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, up to the size limit."""
         self._header_bytes += len(name) + len(value)
-        if self._header_bytes > MAX_HEAD_BYTES:
+        if self._header_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADER_FIELDS:
             raise InvalidResponseError(_HEADERS_TOO_LARGE)
         self._headers.append((name.lower(), value))
 
@@ -128,7 +134,7 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
             raise InvalidResponseError(_BODY_TOO_LARGE)
-        self._body_parts.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Store a final response; ignore an interim one (status 1xx)."""
@@ -136,4 +142,4 @@
         self._may_reuse = self._parser.should_keep_alive()
         status = self._parser.get_status_code()
         if status >= _FIRST_FINAL_STATUS:
-            self._response = Response(status, self._headers, b"".join(self._body_parts))
+            self._response = Response(status, self._headers, bytes(self._body))
--- a/loadbalancer/network/sockets.py
+++ b/loadbalancer/network/sockets.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     import asyncio
 
+_INT = struct.Struct("i")
+
 RESERVED_DESCRIPTORS = 24
 """Number of descriptors that the limits on client connections and on upstream connections each leave free.
 
@@ -50,6 +55,15 @@
             return b""
 
 
+def count_unread_bytes(transport: asyncio.BaseTransport) -> int | None:
+    """Return the number of bytes that the kernel has received and the loop has not read; None if unknown."""
+    descriptor = transport.get_extra_info("socket").fileno()
+    try:
+        return int(_INT.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(_INT.size)))[0])
+    except (OSError, ValueError):
+        return None
+
+
 def shutdown_write(transport: asyncio.BaseTransport) -> None:
     """Shut down the sending side of a connection at once; `transport.abort` closes the socket only later.
 
--- a/loadbalancer/network/upstream/connection.py
+++ b/loadbalancer/network/upstream/connection.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from loadbalancer.network.upstream.response_gate import ResponseGate
+
 _NOT_ESTABLISHED = "a request was sent before the connection was established"
 
 
@@ -31,6 +33,7 @@
     """One connection to an upstream; it carries one request at a time and owns its transport.
 
     Args:
+        gate: Pauses the connection while the memory budget is exceeded.
         on_reusable: Called with the connection when it may be reused for another request.
         on_closed: Called with the connection exactly once, when it closes.
 
@@ -40,10 +43,12 @@
 
     def __init__(
         self,
+        gate: ResponseGate,
         on_reusable: Callable[[UpstreamConnection], None],
         on_closed: Callable[[UpstreamConnection], None],
     ) -> None:
         self.idle_since = 0.0
+        self._gate = gate
         self._on_reusable = on_reusable
         self._on_closed = on_closed
         self._handler: ResponseHandler | None = None
@@ -51,6 +56,7 @@
         self._parser: ResponseParser | None = None
         self._is_request_written = False
         self._is_closed = False
+        self._held_bytes = 0  # memory of the response, as the gate accounts for it
 
     @property
     def transport(self) -> asyncio.Transport | None:
@@ -94,6 +100,10 @@
             return
         if response is not None:
             handler.handle_response(response)
+            return
+        growth_bytes = self._parser.held_bytes - self._held_bytes
+        self._held_bytes += growth_bytes
+        self._gate.record_growth(growth_bytes)
 
     def eof_received(self) -> None:
         """Report that the upstream has ended the connection; the transport then closes itself."""
@@ -117,6 +127,7 @@
         if self._transport is None:
             raise InvalidStateError(_NOT_ESTABLISHED)
         self._handler = handler
+        self._gate.add(self)
         self._is_request_written = False
         self._parser = self._parser or ResponseParser()
         self._transport.write(request)
@@ -146,6 +157,7 @@
             is_response_complete: Whether the request ended with a complete response.
         """
         self._handler = None
+        self._leave_gate()
         if (
             is_response_complete
             and self._is_request_written
@@ -167,7 +179,22 @@
             shutdown_write(self._transport)
             self._transport.abort()
 
+    def pause_reading(self) -> None:
+        """Stop reading the response."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read the response again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _leave_gate(self) -> None:
+        self._gate.remove(self, self._held_bytes)
+        self._held_bytes = 0
+
     def _report_closed(self) -> None:
+        self._leave_gate()
         if not self._is_closed:
             self._is_closed = True
             self._on_closed(self)
--- a/loadbalancer/network/upstream/pool.py
+++ b/loadbalancer/network/upstream/pool.py
@@ -6,13 +6,16 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from loadbalancer.endpoints import EndpointState
+from loadbalancer.network.memory_budget import ENDPOINT_BYTES, HeldKind
 from loadbalancer.network.upstream.connection import UpstreamConnection
 from loadbalancer.network.upstream.connection_limit import ConnectionLimit
+from loadbalancer.network.upstream.response_gate import ResponseGate
 
 if TYPE_CHECKING:
     import asyncio
 
     from loadbalancer.configuration import Address, Configuration, EndpointList, EndpointListEntry
+    from loadbalancer.network.memory_budget import MemoryBudget
 
 IDLE_TIMEOUT_FRACTION = 0.8
 """Fraction of the upstream's idle timeout after which the balancer closes an idle connection.
@@ -66,6 +69,7 @@
         started_at_ms: When the upstream's process started, according to the endpoint list.
         loop: The event loop.
         limit: Counts and limits the connections of all pools.
+        gate: Pauses connections while the memory budget is exceeded.
         timeouts: The time limits.
 
     Attributes:
@@ -80,6 +84,7 @@
         started_at_ms: float,
         loop: asyncio.AbstractEventLoop,
         limit: ConnectionLimit,
+        gate: ResponseGate,
         timeouts: PoolTimeouts,
     ) -> None:
         self.address = address
@@ -88,6 +93,7 @@
         self.draining_since: float | None = None
         self._loop = loop
         self._limit = limit
+        self._gate = gate
         self._timeouts = timeouts
         self._idle_connections: list[UpstreamConnection] = []  # in the order of their last use
         self._is_retired = False
@@ -131,7 +137,7 @@
         # one iteration of the event loop could together exceed the limit, and use descriptors that are
         # reserved, for example for the connection to discovery.
         self._limit.acquire()
-        connection = UpstreamConnection(self.add_idle_connection, self._on_connection_closed)
+        connection = UpstreamConnection(self._gate, self.add_idle_connection, self._on_connection_closed)
         try:
             await self._loop.create_connection(lambda: connection, *self.address)
         except BaseException:
@@ -193,10 +199,21 @@
         connection_limit: Counts and limits the connections of all pools.
     """
 
-    def __init__(self, configuration: Configuration, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, configuration: Configuration, loop: asyncio.AbstractEventLoop, budget: MemoryBudget
+    ) -> None:
+        """Create the pools of no endpoints.
+
+        Args:
+            configuration: The configuration of the balancer.
+            loop: The event loop.
+            budget: Counts the memory that is held for peers.
+        """
         self.connection_limit = ConnectionLimit(
-            configuration.descriptor_limit, self._close_oldest_idle_connection
+            configuration.descriptor_limit, budget, self._close_oldest_idle_connection
         )
+        self._budget = budget
+        self._gate = ResponseGate(budget)
         self._loop = loop
         self._timeouts = PoolTimeouts.from_configuration(configuration)
         self._pools: dict[str, UpstreamPool] = {}
@@ -230,6 +247,7 @@
                 self._retire(name)
         for entry in endpoint_list.endpoints:
             self._update_endpoint(entry)
+        self._budget.set_held(HeldKind.ENDPOINTS, len(self._pools) * ENDPOINT_BYTES)
 
     def _update_endpoint(self, entry: EndpointListEntry) -> None:
         endpoint = entry.endpoint
@@ -242,7 +260,12 @@
             pool = None
         if pool is None:
             pool = UpstreamPool(
-                entry.address, endpoint.started_at_ms, self._loop, self.connection_limit, self._timeouts
+                entry.address,
+                endpoint.started_at_ms,
+                self._loop,
+                self.connection_limit,
+                self._gate,
+                self._timeouts,
             )
             self._pools[endpoint.name] = pool
         if endpoint.state is EndpointState.READY:
--- a/loadbalancer/policy/admission.py
+++ b/loadbalancer/policy/admission.py
@@ -31,6 +31,26 @@
 Increasing the bucket size with the square root of the number of balancers has no advantage.
 """
 
+MEMORY_SHEDDING_START = 0.9
+"""Used fraction of the memory budget from which on requests of a class without priority weight are shed."""
+
+
+class MemoryPressure:
+    """Sheds requests while the host's memory is short, those of the lowest priority weight first."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._max_priority_weight = max(c.priority_weight for c in settings.classes) or 1.0
+
+    def admits(self, request_class: RequestClass, memory_use: float) -> bool:
+        """Return whether there is memory for a request.
+
+        Args:
+            request_class: The class of the request.
+            memory_use: The used fraction of the memory budget; above 1 if the budget is exceeded.
+        """
+        importance: float = (request_class.priority_weight / self._max_priority_weight) ** PRIORITY_EXPONENT
+        return memory_use <= MEMORY_SHEDDING_START + (1 - MEMORY_SHEDDING_START) * importance
+
 
 class Quotas:
     """Limits each tenant with a token bucket; each request costs one token.
--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -26,7 +26,7 @@
     ResponseStarted,
     TimerFired,
 )
-from loadbalancer.policy.admission import AdmissionControl, Quotas
+from loadbalancer.policy.admission import AdmissionControl, MemoryPressure, Quotas
 from loadbalancer.policy.arrivals import ArrivalRate
 from loadbalancer.policy.attempt_recorder import AttemptRecorder
 from loadbalancer.policy.attempt_starter import AttemptStarter
@@ -74,6 +74,7 @@
         balancer_count = BalancerCountEstimator(settings, self._arrivals)
         self._available_capacity = AvailableCapacity(self._endpoints, balancer_count)
         self._overload = OverloadDetector(self._available_capacity)
+        self._memory_pressure = MemoryPressure(settings)
         self._admission = AdmissionControl(settings, self._overload, Quotas(settings, balancer_count))
         capacity = CapacityEstimator(self._endpoints, self._arrivals)
         self._slow_start = SlowStart(settings, self._endpoints, self._arrivals, balancer_count, capacity)
@@ -141,7 +142,11 @@
         request = self._requests.add(event, now)
         request.work = self._cost_hints.relative_work(event.cost_hint_ms)
         self._arrivals.record(now)
-        if not self._admission.admits(request.request_class, event.tenant, event.remaining_ms, now):
+        if not self._memory_pressure.admits(request.request_class, event.memory_use):
+            self._shed(
+                request, "memory is short: shedding the requests of the lowest priority weight first", now
+            )
+        elif not self._admission.admits(request.request_class, event.tenant, event.remaining_ms, now):
             self._shed(request, "overloaded: shedding the requests of the lowest priority weight first", now)
         elif not self._start_attempt(request, now):
             self._shed(request, "no endpoint is eligible: rejecting requests", now)
--- a/testbed/load/hostile_clients.py
+++ b/testbed/load/hostile_clients.py
@@ -39,6 +39,8 @@
 """Minimum number of bytes that a flooding client writes at once."""
 
 RECONNECT_DELAY_S = 0.2
+SEND_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 5.0
 WRITE_PAUSE_S = 0.02
 SLOW_WRITE_BYTES = 4_096
 READ_BYTES = 65_536
@@ -145,9 +147,10 @@
             await asyncio.sleep(3600)
         elif kind is HostileKind.SEND_AND_LEAVE:
             writer.write(self._requests(ABANDONED_BYTES // len(self._requests(1))))
-            await asyncio.wait_for(writer.drain(), 1.0)
-            writer.close()
-            await asyncio.wait_for(writer.wait_closed(), 1.0)
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                await writer.drain()
+                writer.close()
+                await writer.wait_closed()
         else:
             await self._flood(reader, writer)
 
@@ -220,12 +223,12 @@
         HostileClient(kinds[i % len(kinds)], address, ids, random.Random(f"{seed}/{i}")) for i in range(count)
     ]
     lag = LoopLagMonitor(asyncio.get_running_loop())
-    async with asyncio.TaskGroup() as tasks:
-        runs = [tasks.create_task(client.run()) for client in clients]
-        pipe.send("started")
-        await _wait_until_readable(pipe)
-        for run in runs:
-            run.cancel()
+    runs = [asyncio.ensure_future(client.run()) for client in clients]
+    pipe.send("started")
+    await _wait_until_readable(pipe)
+    for run in runs:
+        run.cancel()
+    await asyncio.wait(runs, timeout=STOP_TIMEOUT_S)
     pipe.recv()
     lag.stop()
     pipe.send(HostileReport(sum(client.connections for client in clients), lag.take_lag().max_s))
--- a/testbed/runs/list_size/lists.py
+++ b/testbed/runs/list_size/lists.py
@@ -14,6 +14,7 @@
 
 from loadbalancer.configuration import read_configuration, read_endpoint_list
 from loadbalancer.events import EndpointListKind, EndpointListUpdate
+from loadbalancer.network.memory_budget import MemoryBudget
 from loadbalancer.network.upstream.pool import UpstreamPools
 from loadbalancer.policy.balancer import LoadBalancer
 from testbed import settings
@@ -38,6 +39,8 @@
 _NS_PER_US = 1e3
 _NS_PER_MS = 1e6
 _KIB = 1024
+_BUDGET_BYTES = 1 << 30
+"""A memory budget that no list reaches."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +78,7 @@
         configuration = read_configuration(self._configuration_text, ignore_message)
         loop = asyncio.new_event_loop()
         self._balancer = LoadBalancer(configuration.settings, configuration.seed)
-        self._upstream_pools = UpstreamPools(configuration, loop)
+        self._upstream_pools = UpstreamPools(configuration, loop, MemoryBudget(_BUDGET_BYTES))
         loop.close()  # not used later, since applying a list opens no connection
         self._entries = settings.endpoint_entries(entries, seed=plan.seed)
         self._discovery = Discovery()
--- a/tests/policy/test_admission_priorities.py
+++ b/tests/policy/test_admission_priorities.py
@@ -4,7 +4,9 @@
 
 from dataclasses import replace
 
+from loadbalancer.actions import RejectRequest
 from loadbalancer.events import Outcome
+from loadbalancer.policy.admission import MEMORY_SHEDDING_START, MemoryPressure
 from loadbalancer.settings import RequestClass, Tenant
 from tests.policy.helpers import (
     PAY,
@@ -12,6 +14,7 @@
     PolicyHarness,
     apply_load,
     complete_startup,
+    make_settings,
     send_until_shed,
     started_attempts,
 )
@@ -44,6 +47,24 @@
     )
 
 
+def test_lowest_priority_weight_is_shed_first_while_memory_is_short() -> None:
+    pressure = MemoryPressure(make_settings(classes=(LOW_PRIORITY, HIGH_PRIORITY)))
+    assert pressure.admits(LOW_PRIORITY, MEMORY_SHEDDING_START)
+    assert not pressure.admits(LOW_PRIORITY, 0.99)
+    assert pressure.admits(HIGH_PRIORITY, 0.99)
+    assert pressure.admits(HIGH_PRIORITY, 1.0)
+    assert not pressure.admits(HIGH_PRIORITY, 1.001)
+
+
+def test_request_is_rejected_if_memory_budget_is_exceeded() -> None:
+    harness = PolicyHarness(2, classes=(HIGH_PRIORITY,))
+    _, actions = harness.request(HIGH_PRIORITY, memory_use=1.1)
+    assert not started_attempts(actions)
+    assert [type(action) for action in actions].count(RejectRequest) == 1
+    _, actions = harness.request(HIGH_PRIORITY, memory_use=0.5)
+    assert started_attempts(actions)
+
+
 def test_low_priority_class_may_use_most_of_limit() -> None:
     """Without the exponent, a class with an eighth of the largest weight would have too low a limit.
 
--- a/tests/testbed/test_stored_results.py
+++ b/tests/testbed/test_stored_results.py
@@ -19,6 +19,7 @@
 from testbed.runs.control.change_measurement import ChangeRow
 from testbed.runs.control.idle import IdleRow
 from testbed.runs.depth.simulation import DepthRow
+from testbed.runs.hostile_clients import HostileClientsRow
 from testbed.runs.list_size.rows import DecisionRow, ListRow
 from testbed.runs.real_depth.run import RealDepthRow
 
@@ -29,6 +30,7 @@
     "control_change": (ChangeRow,),
     "control_rest": (IdleRow,),
     "depth": (DepthRow,),
+    "hostile_clients": (HostileClientsRow,),
     "list_size": (DecisionRow, ListRow),
     "real_depth": (RealDepthRow,),
 }
