--- a/loadbalancer/network/discovery/connection.py
+++ b/loadbalancer/network/discovery/connection.py
@@ -65,7 +65,7 @@
     def __init__(self) -> None:
         self.is_closed = False
         self._transport: asyncio.Transport | None = None
-        self._parser = ResponseParser(MAX_RESPONSE_BYTES)
+        self._parser = ResponseParser(MAX_RESPONSE_BYTES, requires_length=True)
         self._response: asyncio.Future[Response] | None = None
         self._timeout: asyncio.Timeout | None = None  # set until the response begins
 
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -45,10 +45,12 @@
 
     Args:
         max_body_bytes: The maximum size of a body.
+        requires_length: Whether responses without a length are rejected; the end of the connection ends them.
     """
 
-    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES, *, requires_length: bool = False) -> None:
         self._max_body_bytes = max_body_bytes
+        self._requires_length = requires_length
         self._parser = httptools.HttpResponseParser(self)
         self._response: Response | None = None
         self._bytes_since_response = 0
@@ -83,6 +85,14 @@
             self._bytes_since_response = 0
         return response
 
+    def finish(self) -> Response | None:
+        """Return the response that the orderly end of the connection completes; None if there is none."""
+        if not self._ends_with_connection:
+            return None
+        self._ends_with_connection = False
+        self._may_reuse = False
+        return Response(self._parser.get_status_code(), self._headers, bytes(self._body))
+
     def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
@@ -101,6 +111,7 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._header_bytes = 0
+        self._ends_with_connection = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, up to the size limit."""
@@ -121,7 +132,8 @@
         if lengths and not self._is_valid_length(lengths[0]):
             raise InvalidResponseError(_INVALID_LENGTH)
         has_body = status >= _FIRST_FINAL_STATUS and status not in _STATUSES_WITHOUT_BODY
-        if has_body and not lengths and not codings:
+        self._ends_with_connection = has_body and not lengths and not codings
+        if self._ends_with_connection and self._requires_length:
             raise InvalidResponseError(_NO_LENGTH)
 
     def _is_valid_length(self, length: bytes) -> bool:
--- a/loadbalancer/network/upstream/connection.py
+++ b/loadbalancer/network/upstream/connection.py
@@ -106,9 +106,17 @@
         self._gate.record_growth(growth_bytes)
 
     def eof_received(self) -> None:
-        """Report that the upstream has ended the connection; the transport then closes itself."""
-        if self._handler is not None:
-            self._handler.handle_reset()
+        """Report a response without a length as complete, any other as reset; the transport closes itself."""
+        handler = self._handler
+        if handler is None:
+            return
+        response: Response | None = None
+        if self._parser is not None and self._is_request_written:
+            response = self._parser.finish()
+        if response is not None:
+            handler.handle_response(response)
+        else:
+            handler.handle_reset()
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Report the end of the connection to the pool, then to the handler of the request in progress."""
