Ignore white space around header values, on both sides

X-Deadline: '480m ' got 400, an upstream's 'Content-Length: 2 ' counted as a reset, and 'X-Not-Run: 1 ' was not recognised, so work that had not run was not sent again. RFC 9110, section 5.5: white space around a field value is not a part of it. Both parsers strip it now. test_white_space_after_field_values_is_ignored and two outcomes of upstream responses failed before. Also tests the limit of 100 header fields at its edge.

--- a/loadbalancer/network/client/request_parser.py
+++ b/loadbalancer/network/client/request_parser.py
@@ -10,7 +10,13 @@
 from loadbalancer.network.client.incoming_request import IncomingRequest
 from loadbalancer.network.client.rejection import Rejection, RequestRejectedError
 from loadbalancer.network.client.request_head import RequestHead, read_refused_head, read_request_head
-from loadbalancer.network.headers import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADER_FIELDS, Headers
+from loadbalancer.network.headers import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
+    Headers,
+    strip_field_value,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,7 +53,7 @@
         if len(self.fields) >= MAX_HEADER_FIELDS:
             raise RequestRejectedError(TOO_MANY_FIELDS)
         self.size_bytes += len(name) + len(value)
-        self.fields.append((name.lower(), value))
+        self.fields.append((name.lower(), strip_field_value(value)))
 
     def check_size(self) -> None:
         """Check the size of the complete head.
--- a/loadbalancer/network/headers.py
+++ b/loadbalancer/network/headers.py
@@ -31,6 +31,11 @@
 """Headers in their order on the wire; the names of received headers are in lower case."""
 
 
+def strip_field_value(value: bytes) -> bytes:
+    """Remove the white space around a field value, which is not a part of it (RFC 9110, section 5.5)."""
+    return value.strip(b" \t")
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return the headers that a proxy forwards.
 
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -5,7 +5,13 @@
 import httptools
 
 from loadbalancer.network.errors import InvalidResponseError
-from loadbalancer.network.headers import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADER_FIELDS, Headers
+from loadbalancer.network.headers import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
+    Headers,
+    strip_field_value,
+)
 from loadbalancer.network.memory_budget import HEADER_FIELD_BYTES
 
 _MAX_LENGTH_DIGITS = 19
@@ -118,7 +124,7 @@
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADER_FIELDS:
             raise InvalidResponseError(_HEADERS_TOO_LARGE)
-        self._headers.append((name.lower(), value))
+        self._headers.append((name.lower(), strip_field_value(value)))
 
     def on_headers_complete(self) -> None:
         """Reject a response with an invalid head before its body is read."""
--- a/tests/network/client/test_request_validation.py
+++ b/tests/network/client/test_request_validation.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from loadbalancer.network.headers import MAX_HEADER_FIELDS
 from loadbalancer.network.memory_budget import HeldKind
 from tests.support.http_messages import status
 from tests.support.scripted_upstream import Upstream
@@ -109,6 +110,32 @@
     assert upstream.connection_count == 0
 
 
+async def test_white_space_after_field_values_is_ignored(start_proxy: StartProxy) -> None:
+    """RFC 9110, section 5.5: white space around a field value is not a part of it."""
+    upstream = Upstream()
+    harness = await start_proxy(upstream)
+    client = await harness.connect_client()
+    client.writer.write(b"GET /read HTTP/1.1\r\n" + valid_headers().replace(b"\r\n", b" \t\r\n") + b"\r\n")
+    assert status(await client.read_response()) == 200
+    assert upstream.received[0].headers["x-request-id"] == "a1"
+
+
+@pytest.mark.parametrize(
+    ("field_count", "expected_status"), [(MAX_HEADER_FIELDS, 200), (MAX_HEADER_FIELDS + 1, 431)]
+)
+async def test_number_of_header_fields_is_limited(
+    start_proxy: StartProxy, field_count: int, expected_status: int
+) -> None:
+    """Guards against heads of very many short fields, each of which costs far more memory than its text."""
+    harness = await start_proxy(Upstream())
+    client = await harness.connect_client()
+    other_fields = b"".join(
+        b"%x:1\r\n" % number for number in range(field_count - valid_headers().count(b"\n"))
+    )
+    client.writer.write(b"GET /read HTTP/1.1\r\n" + valid_headers() + other_fields + b"\r\n")
+    assert status(await client.read_response()) == expected_status
+
+
 async def test_input_after_rejection_is_discarded(start_proxy: StartProxy) -> None:
     harness = await start_proxy(Upstream())
     client = await harness.connect_client()
--- a/tests/network/test_proxy.py
+++ b/tests/network/test_proxy.py
@@ -71,6 +71,8 @@
     [
         (response(503, b"", "X-Not-Run: 1"), Outcome.REJECTED, 503),
         (response(504, b"", "X-Not-Run: 1"), Outcome.REJECTED, 503),
+        (response(503, b"", "X-Not-Run: 1 \t"), Outcome.REJECTED, 503),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 4 \r\n\r\ntile", Outcome.SUCCEEDED, 200),
         (response(503, b""), Outcome.ERROR, 502),
         (response(500, b""), Outcome.ERROR, 502),
         (response(200, b"x" * 65_537), Outcome.RESET, 502),
