Answer a request that asks for another protocol once

A request with Upgrade: h2c was answered 200 and, at once, 400 on the same connection, which a client could take for the answer to its next request: httptools stops at the end of such a request with an exception, which counted as malformed input. The switch is not made (RFC 9110, section 7.8 allows that), and parsing goes on as HTTP/1.1 with a new parser. test_request_for_another_protocol_gets_one_response failed before.

--- a/loadbalancer/network/client/request_parser.py
+++ b/loadbalancer/network/client/request_parser.py
@@ -66,9 +66,7 @@
 
 
 class RequestParser:
-    """Parses the bytes of one connection into requests.
-
-    The `on_...` methods are callbacks; only httptools calls them.
+    """Parses the bytes of one connection into requests; httptools calls the `on_...` methods.
 
     Attributes:
         completed_count: The number of complete requests so far.
@@ -144,8 +142,9 @@
             The rejection of the current request if it is not acceptable; nothing may be parsed after it.
         """
         try:
-            self._require_parser().feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            while data:
+                data = self._feed_to_upgrade(data)
+        except httptools.HttpParserError as error:
             # An exception that a callback raised is the context of the exception that httptools raises.
             cause = error.__context__
             return cause.rejection if isinstance(cause, RequestRejectedError) else MALFORMED_REQUEST
@@ -160,7 +159,7 @@
     def close(self) -> None:
         """Release all memory; nothing may be parsed afterwards.
 
-        Breaks a reference cycle: the parser of httptools refers back to this object.
+        Breaks the reference cycle with the parser of httptools.
         """
         self._partial_head = _PartialHead()
         self._body = bytearray()
@@ -168,6 +167,15 @@
         self._on_request = _ignore_request
         self._parser = None
 
+    def _feed_to_upgrade(self, data: bytes) -> bytes:
+        """Parse up to a request that asks for another protocol; return the rest, which is HTTP/1.1 too."""
+        try:
+            self._require_parser().feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._parser = httptools.HttpRequestParser(self)
+            return data[int(upgrade.args[0]) :]
+        return b""
+
     def _require_parser(self) -> httptools.HttpRequestParser:
         if self._parser is None:
             raise ParserClosedError
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -117,7 +117,7 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._header_bytes = 0
-        self._ends_with_connection = False
+        self._ends_with_connection: bool = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, up to the size limit."""
--- a/tests/network/client/test_request_validation.py
+++ b/tests/network/client/test_request_validation.py
@@ -120,6 +120,16 @@
     assert upstream.received[0].headers["x-request-id"] == "a1"
 
 
+async def test_request_for_another_protocol_gets_one_response(start_proxy: StartProxy) -> None:
+    """RFC 9110, section 7.8: a server may ignore Upgrade; a second response would answer the next request."""
+    harness = await start_proxy(Upstream())
+    client = await harness.connect_client()
+    upgrade = valid_headers() + b"Connection: upgrade\r\nUpgrade: h2c\r\n"
+    client.writer.write(b"GET /read HTTP/1.1\r\n" + upgrade + b"\r\nGET /healthz HTTP/1.1\r\n\r\n")
+    assert (await client.read_response()).body == b"tile"
+    assert (await client.read_response()).body == b"ok\n"
+
+
 @pytest.mark.parametrize(
     ("field_count", "expected_status"), [(MAX_HEADER_FIELDS, 200), (MAX_HEADER_FIELDS + 1, 431)]
 )
