--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -61,6 +61,7 @@
         self._response: Response | None = None
         self._bytes_since_response = 0
         self._may_reuse = False
+        self._ends_with_connection = False
         self.on_message_begin()
 
     @property
@@ -117,7 +118,7 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._header_bytes = 0
-        self._ends_with_connection: bool = False
+        self._ends_with_connection = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, up to the size limit."""
