Refuse a configuration that is nested too deeply in one line

SIGHUP with deeply nested JSON raised RecursionError in the event loop, and at the start it ended the process with a traceback instead of one line. It is a configuration error now: the old configuration stays in force, with one line. test_open_requests_survive_reloads and test_configuration_error_prints_one_line_and_fails failed before.

--- a/loadbalancer/configuration.py
+++ b/loadbalancer/configuration.py
@@ -75,6 +75,9 @@
         super().__init__(f"{text!r} is not an address of the form host:port")
 
 
+_NESTED_TOO_DEEPLY = "nested too deeply"
+
+
 class EndpointListError(LoadBalancerError, ValueError):
     """Base class of errors in a JSON endpoint list."""
 
@@ -167,6 +170,8 @@
         raise MissingKeyError(error.args[0]) from None
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigurationError(str(error)) from None
+    except RecursionError:
+        raise ConfigurationError(_NESTED_TOO_DEEPLY) from None
 
 
 def read_endpoint_list(document: Mapping[str, Any]) -> EndpointList:
--- a/tests/network/test_program.py
+++ b/tests/network/test_program.py
@@ -23,7 +23,7 @@
 def test_configuration_error_prints_one_line_and_fails(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
-    for text in (None, "", "{}", "[]", config_text("nowhere", [])):
+    for text in (None, "", "{}", "[]", "[" * 100_000, config_text("nowhere", [])):
         if text is not None:
             path.write_text(text)
             environment["LB_CONFIG"] = str(path)
--- a/tests/network/test_reload.py
+++ b/tests/network/test_reload.py
@@ -47,6 +47,9 @@
     program.path.write_text("{ truncated")
     program.process.send_signal(signal.SIGHUP)
     assert b"configuration not reloaded" in await read_log_line(program.process)
+    program.path.write_text('{"a":' * 100_000)
+    program.process.send_signal(signal.SIGHUP)
+    assert await read_log_line(program.process) == b"n1: configuration not reloaded: nested too deeply\n"
     program.path.write_text(config_text(await start_server(new_discovery), program.entries))
     program.process.send_signal(signal.SIGHUP)
     assert await new_discovery.requests.get() == "GET /v1/servers HTTP/1.1"
