End an attempt whose connect is cancelled as its connection comes up

Under load, ValueError: negative file descriptor was raised in UpstreamAttempt._connect if a connect was cancelled just as the connection came up: the socket is closed then, before the transport says that it is closing. The attempt then lasted until its whole time was over instead of its connect timeout. shutdown_write and peek treat a closed socket as an ended connection. test_closed_socket_counts_as_ended failed before.

--- a/loadbalancer/network/sockets.py
+++ b/loadbalancer/network/sockets.py
@@ -46,6 +46,8 @@
     Returns:
         The byte; `b""` if the connection has ended; None if it is open and the receive buffer is empty.
     """
+    if _is_socket_closed(transport):
+        return b""
     with _BorrowedSocket(transport) as borrowed:
         try:
             return borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -69,8 +71,13 @@
 
     The write buffer of the transport must be empty. Has no effect on a transport that is closing.
     """
-    if transport.is_closing():
+    if transport.is_closing() or _is_socket_closed(transport):
         return
     # The kernel reports an error for a connection that has ended already.
     with _BorrowedSocket(transport) as borrowed, contextlib.suppress(OSError):
         borrowed.shutdown(socket.SHUT_WR)
+
+
+def _is_socket_closed(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the socket is closed; after a cancelled connect it is, before the transport knows."""
+    return bool(transport.get_extra_info("socket").fileno() < 0)
