--- a/loadbalancer/network/client/context.py
+++ b/loadbalancer/network/client/context.py
@@ -62,4 +62,6 @@
     def next_read_buffer(self) -> memoryview:
         """Return the part of the read buffer into which the next input of a connection is read."""
         read_bytes = int(self.budget.available_bytes * READ_FRACTION)
-        return self.read_buffer[: min(max(read_bytes, MIN_READ_BYTES), READ_BYTES)]
+        if read_bytes >= READ_BYTES:
+            return self.read_buffer
+        return self.read_buffer[: max(read_bytes, MIN_READ_BYTES)]
--- a/loadbalancer/network/client/input_limits.py
+++ b/loadbalancer/network/client/input_limits.py
@@ -75,6 +75,8 @@
         be written.
         """
         reader = self._reader
+        if not reader.is_refusing and not reader.unparsed_bytes and not reader.queue:
+            return
         if reader.is_refusing:
             if reader.estimate.is_caught_up and not reader.unparsed_bytes and not self._is_limit_reached():
                 reader.stop_refusing()
@@ -110,7 +112,8 @@
     def _is_limit_reached(self) -> bool:
         """Return whether too much is held; an incomplete request counts only if the budget is used up."""
         reader = self._reader
+        unhandled_bytes = reader.unparsed_bytes + reader.queued_bytes
         available_bytes = self._budget.available_bytes
         if available_bytes <= 0:
-            return reader.input_bytes + reader.queued_bytes > 0
-        return reader.unparsed_bytes + reader.queued_bytes >= AVAILABLE_FRACTION * available_bytes
+            return unhandled_bytes + reader.input_bytes > 0
+        return unhandled_bytes > 0 and unhandled_bytes >= AVAILABLE_FRACTION * available_bytes
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -8,7 +8,6 @@
 from loadbalancer.network.client.input_limits import InputLimits
 from loadbalancer.network.client.rejection import Rejection
 from loadbalancer.network.client.response_writer import ResponseWriter
-from loadbalancer.network.memory_budget import BudgetState
 
 if TYPE_CHECKING:
     from loadbalancer.network.client.context import ConnectionContext
@@ -63,26 +62,25 @@
         return self._current_request is None and bool(self.reader.queue)
 
     def has_client_disconnected(self) -> bool:
-        """Return whether the client has closed the connection, or its sending side."""
+        """Return whether the client has closed the connection or its sending side."""
         return self._transport.has_client_disconnected()
 
     def handle_input(self) -> None:
         """Parse input that has just been received, or ask for a share of a later turn."""
-        self._limits.account()
-        if self._context.budget.state is not BudgetState.NORMAL:
-            self._context.release_input()
         self._context.turns.request_share(self)
+        if self.reader.unparsed_bytes:
+            self._limits.account()
 
     def resume(self) -> None:
-        """Handle the next request, since the previous response has left the write buffer."""
+        """Handle the next request: the previous response has left the write buffer."""
         self._context.turns.request_share(self)
 
     def run_share(self) -> bool:
         """Begin requests and parse input, up to `STEPS_PER_SHARE`; return whether there is more to do now."""
         if not self._transport.is_open:
             return False
+        self._limits.apply()
         for _ in range(STEPS_PER_SHARE):
-            self._limits.apply()
             if not self._begin_next() and not self._parse_next():
                 break
         if not self._transport.is_open:
@@ -92,6 +90,8 @@
             # be written after the end of the connection.
             self.reader.discard_unparsed()
         self._limits.account()
+        if self._context.budget.is_high:
+            self._context.release_input()
         self._limits.pause_or_resume_reading()
         return self._can_begin() or self._can_parse()
 
@@ -99,16 +99,14 @@
         return self.reader.can_parse() and (self._current_request is None or self.reader.is_refusing)
 
     def _can_begin(self) -> bool:
-        """Return whether the first request of the queue may begin, as far as is known without a system call.
-
-        At most one response is buffered for a client that sends requests and never reads responses.
-        """
+        """Return whether the first queued request may begin, as far as is known without a system call."""
         if not self.has_only_queued_requests() or self._transport.has_unsent_bytes():
             return False
         return self.reader.estimate.is_caught_up or _is_answered_here(self.reader.queue[0])
 
     def _begin_next(self) -> bool:
         """Begin the first request of the queue; return false if none may begin now."""
+        # At most one response is buffered for a client that sends requests and never reads responses.
         if self._current_request is not None or self._transport.has_unsent_bytes():
             return False
         if not self.reader.queue:
@@ -154,8 +152,8 @@
             return
         self._current_request = None
         self._writer.write(status, headers, body, is_final=self._is_final(keep_alive=request.keep_alive))
-        self._limits.account()
-        self._context.turns.request_share(self)
+        if self.reader.queue or self.reader.unparsed_bytes or self._rejection is not None:
+            self._context.turns.request_share(self)
 
     def reject(self, rejection: Rejection) -> None:
         """Discard further input; write the rejection after the responses to all earlier requests."""
--- a/loadbalancer/network/client/receive_buffer.py
+++ b/loadbalancer/network/client/receive_buffer.py
@@ -7,20 +7,23 @@
 
 
 class ReceiveBuffer:
-    """Bytes in their order on the wire, and their arrival times in seconds of the monotonic clock."""
+    """Bytes in their order on the wire, and their arrival times in seconds of the monotonic clock.
 
-    __slots__ = ("_arrivals", "_bytes")
+    Attributes:
+        size: The number of bytes.
+    """
+
+    __slots__ = ("_arrivals", "_bytes", "size")
 
     def __init__(self) -> None:
+        self.size = 0
         self._bytes = bytearray()
         self._arrivals: list[tuple[int, float]] = []  # number of bytes and their arrival time
 
-    def __len__(self) -> int:
-        return len(self._bytes)
-
     def append(self, data: bytes | memoryview, arrived_at: float) -> None:
         """Append bytes."""
         self._bytes += data
+        self.size += len(data)
         if self._arrivals:
             count, earlier_arrived_at = self._arrivals[-1]
             if arrived_at - earlier_arrived_at < MERGED_PERIOD_S:
@@ -37,6 +40,7 @@
         taken = min(count, max_bytes)
         data = bytes(memoryview(self._bytes)[:taken])
         del self._bytes[:taken]
+        self.size -= taken
         if taken == count:
             del self._arrivals[0]
         else:
@@ -45,6 +49,7 @@
 
     def clear(self) -> None:
         """Drop all bytes."""
+        self.size = 0
         self._bytes = bytearray()
         self._arrivals = []
 
--- a/loadbalancer/network/client/request_parser.py
+++ b/loadbalancer/network/client/request_parser.py
@@ -11,11 +11,11 @@
 from loadbalancer.network.client.rejection import Rejection, RequestRejectedError
 from loadbalancer.network.client.request_head import RequestHead, read_refused_head, read_request_head
 from loadbalancer.network.headers import (
+    FIELD_WHITE_SPACE,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEADER_FIELDS,
     Headers,
-    strip_field_value,
 )
 
 if TYPE_CHECKING:
@@ -37,23 +37,15 @@
 class _PartialHead:
     """The target and the header fields of a head that is not complete, within their limits."""
 
-    __slots__ = ("fields", "size_bytes", "target")
+    __slots__ = ("fields", "target")
 
     def __init__(self) -> None:
+        self.reset()
+
+    def reset(self) -> None:
+        """Drop all, for the next head."""
         self.target = b""
         self.fields: Headers = []
-        self.size_bytes = 0
-
-    def add_field(self, name: bytes, value: bytes) -> None:
-        """Append a header field.
-
-        Raises:
-            RequestRejectedError: There are more than `MAX_HEADER_FIELDS` fields.
-        """
-        if len(self.fields) >= MAX_HEADER_FIELDS:
-            raise RequestRejectedError(TOO_MANY_FIELDS)
-        self.size_bytes += len(name) + len(value)
-        self.fields.append((name.lower(), strip_field_value(value)))
 
     def check_size(self) -> None:
         """Check the size of the complete head.
@@ -61,7 +53,8 @@
         Raises:
             RequestRejectedError: The head is larger than `MAX_HEAD_BYTES`.
         """
-        if self.size_bytes + len(self.target) > MAX_HEAD_BYTES:
+        size_bytes = sum([len(name) + len(value) for name, value in self.fields])
+        if size_bytes + len(self.target) > MAX_HEAD_BYTES:
             raise RequestRejectedError(HEAD_TOO_LARGE)
 
 
@@ -157,10 +150,7 @@
         self._body = bytearray()
 
     def close(self) -> None:
-        """Release all memory; nothing may be parsed afterwards.
-
-        Breaks the reference cycle with the parser of httptools.
-        """
+        """Release all memory, and break the reference cycle with httptools; nothing may be parsed after."""
         self._partial_head = _PartialHead()
         self._body = bytearray()
         self._head = None
@@ -181,14 +171,11 @@
             raise ParserClosedError
         return self._parser
 
-    # ---- callbacks of httptools -----------------------------------------------------------------
-
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         if not self._arrival.is_arriving:
             self._arrival.record_first_byte(self._arrival.input_arrived_at)
-        self._partial_head = _PartialHead()
-        self._body = bytearray()
+        self._partial_head.reset()
         self._body_bytes = 0
         self._discards_body = self.is_refusing
 
@@ -197,8 +184,11 @@
         self._partial_head.target += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header field, or a trailer."""
-        self._partial_head.add_field(name, value)
+        """Append a header field, or a trailer; reject a request with too many."""
+        fields = self._partial_head.fields
+        if len(fields) >= MAX_HEADER_FIELDS:
+            raise RequestRejectedError(TOO_MANY_FIELDS)
+        fields.append((name.lower(), value.strip(FIELD_WHITE_SPACE)))
 
     def on_headers_complete(self) -> None:
         """Validate the head: an unacceptable request is rejected before its body is read.
@@ -206,13 +196,14 @@
         Raises:
             RequestRejectedError: The request is not acceptable.
         """
-        partial_head, self._partial_head = self._partial_head, _PartialHead()
+        partial_head = self._partial_head
         partial_head.check_size()
+        fields, partial_head.fields = partial_head.fields, []
         if self._discards_body:
-            self._head = read_refused_head(partial_head.fields)
+            self._head = read_refused_head(fields)
             return
         method = self._require_parser().get_method()
-        self._head = read_request_head(method, partial_head.target, partial_head.fields, self._classes)
+        self._head = read_request_head(method, partial_head.target, fields, self._classes)
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body.
@@ -236,7 +227,7 @@
         if head is None:
             raise RequestRejectedError(MALFORMED_REQUEST)
         self._head = None
-        self._partial_head = _PartialHead()  # drops trailers
+        self._partial_head.fields = []  # drops trailers
         self.completed_count += 1
         self.keep_alive = self._require_parser().should_keep_alive()
         received_at = self._arrival.record_complete_request()
--- a/loadbalancer/network/client/request_reader.py
+++ b/loadbalancer/network/client/request_reader.py
@@ -85,14 +85,14 @@
     @property
     def unparsed_bytes(self) -> int:
         """Number of bytes that are read and not parsed."""
-        return len(self._buffer)
+        return self._buffer.size
 
     @property
     def input_bytes(self) -> int:
         """Memory that unparsed input and the incomplete request occupy."""
         if self._parser.is_discarding_body:
-            return len(self._buffer)
-        return len(self._buffer) + self._partial_bytes + self._parser.partial_field_count * HEADER_FIELD_BYTES
+            return self._buffer.size
+        return self._buffer.size + self._partial_bytes + self._parser.partial_field_count * HEADER_FIELD_BYTES
 
     @property
     def queued_bytes(self) -> int:
@@ -102,7 +102,7 @@
     @property
     def has_partial_request(self) -> bool:
         """Whether bytes were received that do not make up a complete request yet."""
-        return bool(self._partial_bytes or len(self._buffer))
+        return bool(self._partial_bytes or self._buffer.size)
 
     @property
     def has_partial_head(self) -> bool:
@@ -115,7 +115,7 @@
         A parsed request occupies far more memory than its bytes, so it is parsed only once it may begin.
         Refused ones occupy none.
         """
-        if not len(self._buffer):
+        if not self._buffer.size:
             return False
         return self.is_refusing or (not self.queue and self.estimate.is_caught_up)
 
@@ -127,7 +127,7 @@
             unread_bytes: The number of bytes that the kernel still holds; None if it is not known.
         """
         self.last_received_at = time.monotonic()
-        if not self.arrival.is_arriving and not len(self._buffer):
+        if not self.arrival.is_arriving and not self._buffer.size:
             self.arrival.record_first_byte(self.last_received_at)
         arrived_at = self.estimate.record_read(len(data), self.last_received_at, unread_bytes)
         self._buffer.append(data, arrived_at)
--- a/loadbalancer/network/headers.py
+++ b/loadbalancer/network/headers.py
@@ -14,6 +14,9 @@
 MAX_HEADER_FIELDS = 100
 """Maximum number of header fields of a request or response; a field costs far more memory than its text."""
 
+FIELD_WHITE_SPACE = b" \t"
+"""White space around a field value, which is not a part of it (RFC 9110, section 5.5)."""
+
 _HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
@@ -31,11 +34,6 @@
 """Headers in their order on the wire; the names of received headers are in lower case."""
 
 
-def strip_field_value(value: bytes) -> bytes:
-    """Remove the white space around a field value, which is not a part of it (RFC 9110, section 5.5)."""
-    return value.strip(b" \t")
-
-
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return the headers that a proxy forwards.
 
--- a/loadbalancer/network/memory_budget.py
+++ b/loadbalancer/network/memory_budget.py
@@ -98,12 +98,17 @@
         """The used fraction of the limit; above 1 if the limit is exceeded."""
         return self.used_bytes / self.limit_bytes
 
+    @property
+    def is_high(self) -> bool:
+        """Whether the state is not `NORMAL`."""
+        return self.used_bytes >= HIGH_FRACTION * self.limit_bytes
+
     @property
     def state(self) -> BudgetState:
         """How much of the budget is used."""
         if self.used_bytes > self.limit_bytes:
             return BudgetState.EXCEEDED
-        return BudgetState.HIGH if self.used_fraction >= HIGH_FRACTION else BudgetState.NORMAL
+        return BudgetState.HIGH if self.is_high else BudgetState.NORMAL
 
     @property
     def available_bytes(self) -> int:
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -6,11 +6,11 @@
 
 from loadbalancer.network.errors import InvalidResponseError
 from loadbalancer.network.headers import (
+    FIELD_WHITE_SPACE,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEADER_FIELDS,
     Headers,
-    strip_field_value,
 )
 from loadbalancer.network.memory_budget import HEADER_FIELD_BYTES
 
@@ -125,7 +125,7 @@
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADER_FIELDS:
             raise InvalidResponseError(_HEADERS_TOO_LARGE)
-        self._headers.append((name.lower(), strip_field_value(value)))
+        self._headers.append((name.lower(), value.strip(FIELD_WHITE_SPACE)))
 
     def on_headers_complete(self) -> None:
         """Reject a response with an invalid head before its body is read."""
--- a/loadbalancer/network/turn_scheduler.py
+++ b/loadbalancer/network/turn_scheduler.py
@@ -42,6 +42,7 @@
         self._backlogged: deque[Worker] = deque()
         self._queued: set[Worker] = set()
         self._remaining_shares = SHARES_PER_TURN
+        self._turn_started_at = 0.0  # on the clock of the loop, which reads it once in each iteration
         self._is_turn_scheduled = False
         self._running: Worker | None = None
 
@@ -52,7 +53,10 @@
         """
         if worker is self._running or worker in self._queued:
             return
-        self._schedule_turn()
+        now = self._loop.time()
+        if now != self._turn_started_at:
+            self._turn_started_at = now
+            self._remaining_shares = SHARES_PER_TURN
         if self._running is None and self._remaining_shares > 0 and not self._waiting:
             self._run(worker)
         else:
@@ -71,6 +75,7 @@
     def _enqueue(self, queue: deque[Worker], worker: Worker) -> None:
         self._queued.add(worker)
         queue.append(worker)
+        self._schedule_turn()
 
     def _run_turn(self) -> None:
         self._is_turn_scheduled = False
--- a/tests/network/client/test_receive_buffer.py
+++ b/tests/network/client/test_receive_buffer.py
@@ -13,7 +13,7 @@
     assert buffer.take(4) == (b"abcd", 1.0)
     assert buffer.take(100) == (b"ef", 1.0)
     assert buffer.take(100) == (b"ghi", 2.0)
-    assert len(buffer) == 0
+    assert buffer.size == 0
 
 
 def test_input_arrives_when_it_is_read_unless_some_is_left_unread() -> None:
