--- a/tests/network/client/test_connection_limit.py
+++ b/tests/network/client/test_connection_limit.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
 import signal
 import socket
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+import pytest
 
 from loadbalancer.network.client import timeouts
 from tests.support.configurations import LISTEN_ON_ANY_PORT, config_text
@@ -14,6 +18,7 @@
 from tests.support.program import running_program
 from tests.support.scripted_upstream import Upstream
 from tests.support.sockets import free_port
+from tests.support.waiting import wait_until
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -34,6 +39,34 @@
         assert await client.reader.read() == b""
 
 
+@pytest.mark.parametrize("error_number", [errno.ECONNABORTED, errno.EPROTO, errno.EPERM])
+async def test_failing_accepts_do_not_block_the_event_loop(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch, error_number: int
+) -> None:
+    """While accept fails, connections that are open get their share of each turn."""
+    harness = await start_proxy(Upstream())
+    client = await harness.connect_client()
+    client.send()
+    assert status(await client.read_response()) == 200
+    accept, failure_count, answered = socket.socket.accept, 0, asyncio.Event()
+
+    def fail_until_answered(listening_socket: socket.socket) -> tuple[socket.socket, Any]:
+        nonlocal failure_count
+        if answered.is_set():
+            return accept(listening_socket)
+        failure_count += 1
+        raise OSError(error_number, "accept failed")
+
+    monkeypatch.setattr(socket.socket, "accept", fail_until_answered)
+    waiting_client = await harness.connect_client()
+    await wait_until(lambda: failure_count, "accept has failed")
+    client.send()
+    assert status(await client.read_response()) == 200
+    answered.set()
+    waiting_client.send()
+    assert status(await waiting_client.read_response()) == 200
+
+
 async def test_idle_connections_are_evicted_early_for_waiting_clients(start_proxy: StartProxy) -> None:
     """Without early eviction, 168 connections kept for 2 s each would allow only 84 requests per second."""
     # If a request races with the close of its connection, the client retries the request on a new one.
--- a/tests/network/client/test_graceful_shutdown.py
+++ b/tests/network/client/test_graceful_shutdown.py
@@ -223,3 +223,20 @@
     assert reply.headers["connection"] == "close"
     client.writer.close()
     await shutdown
+
+
+async def test_pipelined_requests_get_responses_during_shutdown(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a close after the last parsed request while whole ones are still unparsed."""
+    request_count = 80
+    set_shutdown_times(monkeypatch, accept_s=0.0, keep_alive_s=0.0)
+    harness = await start_proxy(Upstream())
+    client = await connect_and_get_response(harness)
+    for _ in range(request_count):
+        client.send("/pay/x", b"x" * 2_000)
+    shutdown = asyncio.ensure_future(harness.proxy.listener.shut_down())
+    replies = [await client.read_response() for _ in range(request_count)]
+    assert {status(reply) for reply in replies} <= {200, 502, 503}
+    client.writer.close()
+    await shutdown
