Disconnect a client that reads nothing also while its input is not parsed

Found by reading the code: since requests are parsed only when they may begin, a client that reads nothing could have unparsed input and no queued request, and was then neither timed out (its input waits for the balancer) nor counted as stalled. Unread responses with unparsed input behind them now count as stalled too, and an unread response is accounted for at once. The test covers clients with much and with little memory left; it passes without the change as well, since the first request behind the unread response is parsed already in both cases.

--- a/loadbalancer/network/client/expiry.py
+++ b/loadbalancer/network/client/expiry.py
@@ -73,6 +73,9 @@
             return False
         if self._transport.is_reading_paused and self._transport.has_client_disconnected():
             return False  # aborted by the check: the event loop detects no disconnect while reading is paused
+        if self._transport.has_unsent_bytes() and self._reader.unparsed_bytes:
+            self._abort_if_stalled(now)
+            return False
         if self.is_awaiting_request():
             return self._close_if_request_timed_out(now, request_timeout_s)
         if self.is_idle():
@@ -107,6 +110,8 @@
     def _abort_if_stalled(self, now: float) -> None:
         """Abort if the client has stopped reading responses, since its queued requests cannot be handled."""
         stalled_s = now - self._pipeline.idle_since
-        if self._pipeline.has_only_queued_requests() and stalled_s > timeouts.WRITE_STALL_TIMEOUT_S:
+        has_waiting_requests = self._pipeline.has_only_queued_requests() or self._reader.unparsed_bytes
+        is_unread = has_waiting_requests and self._transport.has_unsent_bytes()
+        if is_unread and stalled_s > timeouts.WRITE_STALL_TIMEOUT_S:
             self._closes[CloseReason.UNREAD_RESPONSE] += 1
             self._transport.abort()
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -66,7 +66,7 @@
         return self._transport.has_client_disconnected()
 
     def handle_input(self) -> None:
-        """Parse input that has just been received, or ask for a share of a later turn."""
+        """Handle input that has just been received, now or in a later turn."""
         self._context.turns.request_share(self)
         if self.reader.unparsed_bytes:
             self._limits.account()
@@ -152,7 +152,8 @@
             return
         self._current_request = None
         self._writer.write(status, headers, body, is_final=self._is_final(keep_alive=request.keep_alive))
-        if self.reader.queue or self.reader.unparsed_bytes or self._rejection is not None:
+        has_more = self.reader.queue or self.reader.unparsed_bytes or self._rejection is not None
+        if has_more or self._transport.has_unsent_bytes():
             self._context.turns.request_share(self)
 
     def reject(self, rejection: Rejection) -> None:
@@ -166,8 +167,7 @@
     def give_up_partial_request(self) -> None:
         """Release the memory of the incomplete request, which is refused.
 
-        The rest of a body is still read, so that the requests behind it get their responses. A head can't be
-        released without its end, so it ends the connection.
+        The rest of a body is read, for the requests behind it. An incomplete head ends the connection.
         """
         self._context.counters.refused_for_memory += 1
         if self.reader.has_partial_head:
--- a/tests/network/client/test_connection_timeouts.py
+++ b/tests/network/client/test_connection_timeouts.py
@@ -9,7 +9,10 @@
 
 from loadbalancer.network.client import connection_table, timeouts
 from loadbalancer.network.client.accept_queue import QueueAges, measure_queue_ages
+from loadbalancer.network.counters import CloseReason
+from loadbalancer.network.memory_budget import HeldKind
 from tests.support.busy_event_loop import block_event_loop
+from tests.support.disconnecting_clients import request_bytes, wait_until_disconnected
 from tests.support.http_messages import response, status
 from tests.support.scripted_upstream import Upstream, never_respond
 from tests.support.waiting import wait_until
@@ -89,3 +92,24 @@
     for writer in upstream.writers:
         writer.write(response(200, b"at last"))
     assert (await busy.read_response()).body == b"at last"
+
+
+@pytest.mark.parametrize("spare_bytes", [1_000, 10_000_000])
+async def test_client_that_reads_no_response_is_disconnected(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch, spare_bytes: int
+) -> None:
+    """Its further requests can't be handled; if memory is short, most of them stay in the kernel."""
+    loop = asyncio.get_running_loop()
+    harness = await start_proxy(Upstream(response(200, b"x" * 60_000)))
+    budget, listener = harness.proxy.budget, harness.proxy.listener
+    client = harness.connect_socket()
+    client.setblocking(False)  # noqa: FBT003  the only parameter of the method
+    first_requests = [request_bytes("/read", number) for number in range(300)]
+    await loop.sock_sendall(client, b"".join(first_requests))
+    await wait_until(lambda: budget.held_bytes[HeldKind.UNSENT], "a response is unread")
+    budget.limit_bytes = budget.used_bytes + spare_bytes
+    monkeypatch.setattr(timeouts, "WRITE_STALL_TIMEOUT_S", 0.3)
+    further_requests = [request_bytes("/read", number) for number in range(300, 1_000)]
+    await loop.sock_sendall(client, b"".join(further_requests))
+    await wait_until_disconnected(harness)
+    assert listener.context.counters.closes[CloseReason.UNREAD_RESPONSE] == 1
