--- a/tests/network/client/test_memory_limits.py
+++ b/tests/network/client/test_memory_limits.py
@@ -20,6 +20,12 @@
     from tests.support.http_client import Client
 
 
+def incomplete_request(body_bytes: int) -> bytes:
+    """Return a request without the last byte of its body."""
+    head = b"POST /pay/x HTTP/1.1\r\nX-Class: pay\r\nX-Request-Id: id%d\r\nX-Deadline: 4000m\r\n" % body_bytes
+    return head + b"Content-Length: %d\r\n\r\n" % (body_bytes + 1) + b"x" * body_bytes
+
+
 INPUT_KINDS = (HeldKind.INPUT, HeldKind.QUEUED_REQUESTS, HeldKind.OPEN_REQUESTS)
 
 
@@ -60,6 +66,31 @@
     )
 
 
+async def test_largest_incomplete_requests_are_given_up_first(start_proxy: StartProxy) -> None:
+    """Those with a complete head get their response once the body has ended; no small one is given up."""
+    harness = await start_proxy(Upstream())
+    budget, listener = harness.proxy.budget, harness.proxy.listener
+    sizes = (60_000, 2_000, 40_000, 30_000)
+    clients = [await harness.connect_client() for _ in sizes]
+    for client, size in zip(clients, sizes, strict=True):
+        client.writer.write(incomplete_request(size))
+    await wait_until(
+        lambda: sum(connection.partial_request_bytes for connection in listener.connections) > sum(sizes),
+        "all requests have arrived but for their last bytes",
+    )
+    budget.limit_bytes = budget.used_bytes
+    held_bytes = budget.held_bytes[HeldKind.INPUT]
+    listener.eviction.release_input(budget)
+    assert held_bytes - budget.held_bytes[HeldKind.INPUT] >= max(sizes)
+    assert listener.context.counters.refused_for_memory == 1
+    budget.limit_bytes = 100_000_000
+    statuses = []
+    for client in clients:
+        client.writer.write(b"x")
+        statuses.append(status(await client.read_response()))
+    assert statuses == [503, 200, 200, 200]
+
+
 async def test_finished_requests_and_connections_are_freed(
     start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
