Count the end of each client connection once, with its first reason

The reasons of closes were counted where each close was decided, in five places, and again when the client closed its side in turn; a request that did not come in time counted as both a timeout and a final response, and a reset by the client not at all. The transport now keeps the first reason, and the connection counts it when it ends. Only the log line reads these counts. test_each_connection_counts_once_with_its_first_reason failed before.

--- a/loadbalancer/network/client/connection.py
+++ b/loadbalancer/network/client/connection.py
@@ -49,7 +49,7 @@
         self._transport = ClientTransport(context.loop)
         self._reader = RequestReader(context.classes, connected_at, first_request_received_at)
         self._pipeline = RequestPipeline(context, self._transport, self._reader)
-        self.expiry = ConnectionExpiry(context.counters, self._transport, self._reader, self._pipeline)
+        self.expiry = ConnectionExpiry(self._transport, self._reader, self._pipeline)
 
     # ---- state ----------------------------------------------------------------------------------
 
@@ -146,13 +146,13 @@
         The event loop closes the transport once the write buffer is empty. The timer aborts the connection
         if the buffer never becomes empty because the client does not read the response.
         """
-        self._context.counters.closes[CloseReason.BY_CLIENT] += 1
         self._disconnect()
         self._transport.schedule_abort(timeouts.WRITE_STALL_TIMEOUT_S)
 
     def connection_lost(self, _error: Exception | None) -> None:
-        """Drop the requests of the connection and cancel its timer."""
+        """Drop the requests of the connection, count why it ended, and cancel its timer."""
         self._disconnect()
+        self._context.counters.closes[self._transport.close_reason or CloseReason.BY_CLIENT] += 1
         self._transport.cancel_scheduled_abort()
         self._on_closed(self)
 
@@ -173,5 +173,4 @@
 
     def close_gracefully(self) -> None:
         """Close the sending side at the shutdown, then discard input for a short time."""
-        self._context.counters.closes[CloseReason.SHUTDOWN] += 1
-        self._transport.close_gracefully(timeouts.LINGER_TIMEOUT_S)
+        self._transport.close_gracefully(CloseReason.SHUTDOWN, timeouts.LINGER_TIMEOUT_S)
--- a/loadbalancer/network/client/expiry.py
+++ b/loadbalancer/network/client/expiry.py
@@ -12,7 +12,6 @@
     from loadbalancer.network.client.pipeline import RequestPipeline
     from loadbalancer.network.client.request_reader import RequestReader
     from loadbalancer.network.client.transport import ClientTransport
-    from loadbalancer.network.counters import ClientCounters
 
 REQUEST_TIMED_OUT = Rejection(408, "the request did not come to its end")
 
@@ -20,16 +19,9 @@
 class ConnectionExpiry:
     """Applies the timeouts for request arrival, idle time and unread responses to one connection."""
 
-    __slots__ = ("_closes", "_pipeline", "_reader", "_transport")
+    __slots__ = ("_pipeline", "_reader", "_transport")
 
-    def __init__(
-        self,
-        counters: ClientCounters,
-        transport: ClientTransport,
-        reader: RequestReader,
-        pipeline: RequestPipeline,
-    ) -> None:
-        self._closes = counters.closes
+    def __init__(self, transport: ClientTransport, reader: RequestReader, pipeline: RequestPipeline) -> None:
         self._transport = transport
         self._reader = reader
         self._pipeline = pipeline
@@ -81,8 +73,7 @@
         if self.is_idle():
             if now - self._pipeline.idle_since < idle_timeout_s or not self.can_close_without_loss():
                 return False
-            self._closes[CloseReason.IDLE_TIMEOUT] += 1
-            self._transport.close_gracefully(timeouts.LINGER_TIMEOUT_S)
+            self._transport.close_gracefully(CloseReason.IDLE_TIMEOUT, timeouts.LINGER_TIMEOUT_S)
             return True
         self._abort_if_stalled(now)
         return False
@@ -100,11 +91,11 @@
             return False
         if self._reader.unparsed_bytes:
             return False  # the rest of the request may have been read, and waits for its turn
-        self._closes[CloseReason.REQUEST_TIMEOUT] += 1
         if self._reader.has_partial_request:
+            self._transport.set_close_reason(CloseReason.REQUEST_TIMEOUT)
             self._pipeline.reject(REQUEST_TIMED_OUT)
         else:
-            self._transport.close_gracefully(timeouts.SHORT_LINGER_TIMEOUT_S)
+            self._transport.close_gracefully(CloseReason.REQUEST_TIMEOUT, timeouts.SHORT_LINGER_TIMEOUT_S)
         return True
 
     def _abort_if_stalled(self, now: float) -> None:
@@ -113,5 +104,4 @@
         has_waiting_requests = self._pipeline.has_only_queued_requests() or self._reader.unparsed_bytes
         is_unread = has_waiting_requests and self._transport.has_unsent_bytes()
         if is_unread and stalled_s > timeouts.WRITE_STALL_TIMEOUT_S:
-            self._closes[CloseReason.UNREAD_RESPONSE] += 1
-            self._transport.abort()
+            self._transport.abort(CloseReason.UNREAD_RESPONSE)
--- a/loadbalancer/network/client/response_writer.py
+++ b/loadbalancer/network/client/response_writer.py
@@ -64,13 +64,12 @@
     def write(self, status: int, headers: Headers, body: bytes, *, is_final: bool) -> None:
         """Write a response; close the connection after it if it is the final one."""
         self.idle_since = time.monotonic()
-        counters = self._context.counters
-        counters.responses[status] += 1
+        self._context.counters.responses[status] += 1
         self._transport.write(serialize_response(status, headers, body, closes_connection=is_final))
         if is_final:
             is_shutdown = self._context.closes_connections
-            counters.closes[CloseReason.SHUTDOWN if is_shutdown else CloseReason.FINAL_RESPONSE] += 1
-            self._transport.close_gracefully(timeouts.LINGER_TIMEOUT_S)
+            reason = CloseReason.SHUTDOWN if is_shutdown else CloseReason.FINAL_RESPONSE
+            self._transport.close_gracefully(reason, timeouts.LINGER_TIMEOUT_S)
 
     def write_rejection(self, rejection: Rejection, *, is_final: bool) -> None:
         """Write the response to a request that is not accepted."""
--- a/loadbalancer/network/client/transport.py
+++ b/loadbalancer/network/client/transport.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from loadbalancer.network.counters import CloseReason
+
 MAX_LINGER_BYTES = 1 << 20
 """Maximum number of discarded bytes; above it, nothing more is read until the connection is aborted."""
 
@@ -24,6 +26,7 @@
             input was rejected.
         is_disconnected: Whether the client has closed the connection, or its sending side.
         is_reading_paused: Whether reading is paused until there is room, or until the next turn.
+        close_reason: The first reason for which the balancer closes the connection; None if it does not.
     """
 
     __slots__ = (
@@ -31,6 +34,7 @@
         "_discarded_bytes",
         "_loop",
         "_transport",
+        "close_reason",
         "discards_input",
         "is_disconnected",
         "is_reading_paused",
@@ -44,6 +48,7 @@
         self.discards_input = False
         self.is_disconnected = False
         self.is_reading_paused = False
+        self.close_reason: CloseReason | None = None
 
     def attach(self, transport: asyncio.Transport) -> None:
         """Use a transport that the event loop has set up."""
@@ -131,7 +136,11 @@
 
     # ---- closing --------------------------------------------------------------------------------
 
-    def close_gracefully(self, linger_s: float) -> None:
+    def set_close_reason(self, reason: CloseReason) -> None:
+        """Record why the balancer closes the connection, unless there is a reason already."""
+        self.close_reason = self.close_reason or reason
+
+    def close_gracefully(self, reason: CloseReason, linger_s: float) -> None:
         """Close the sending side, then read and discard input for a short time.
 
         Closing both sides could cause a reset that overtakes the last response, or a reset in reply to a
@@ -139,8 +148,10 @@
         connection end between two requests, and sends the request again on another connection.
 
         Args:
+            reason: Why the connection is closed.
             linger_s: How long input is read and discarded.
         """
+        self.set_close_reason(reason)
         if self._transport is None or self.is_disconnected or self.is_abort_scheduled:
             return
         if self._transport.is_closing():
@@ -158,8 +169,9 @@
         if self._transport is not None and self._abort_timer is None:
             self._abort_timer = self._loop.call_later(delay_s, self._transport.abort)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Abort the connection now; unsent bytes are dropped."""
+        self.set_close_reason(reason)
         if self._transport is not None:
             self._transport.abort()
 
--- a/loadbalancer/network/counters.py
+++ b/loadbalancer/network/counters.py
@@ -22,7 +22,7 @@
     """Counts since the start of the process.
 
     Attributes:
-        closes: Closed connections, by reason.
+        closes: Ended connections, by the first reason for the end.
         responses: Responses, by status.
         refused_for_memory: Requests that were refused since there was no memory for them.
         duplicate_ids: Requests whose id was in use.
--- a/tests/network/client/test_connection_timeouts.py
+++ b/tests/network/client/test_connection_timeouts.py
@@ -113,3 +113,27 @@
     await loop.sock_sendall(client, b"".join(further_requests))
     await wait_until_disconnected(harness)
     assert listener.context.counters.closes[CloseReason.UNREAD_RESPONSE] == 1
+
+
+async def test_each_connection_counts_once_with_its_first_reason(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A client usually closes its side too, and the response to an incomplete request is final."""
+    monkeypatch.setattr(timeouts, "REQUEST_TIMEOUT_S", 0.1)
+    harness = await start_proxy(Upstream())
+    for sent in (b"GET /read HT", b"GET /unknown HTTP/1.1\r\n\r\n"):
+        client = await harness.connect_client()
+        client.writer.write(sent)
+        assert await client.reader.read()
+        client.writer.close()
+    await wait_until_disconnected(harness)
+    monkeypatch.setattr(timeouts, "REQUEST_TIMEOUT_S", 3_600.0)
+    leaving_client = harness.connect_socket()
+    await wait_until(lambda: harness.proxy.listener.connections, "the connection is accepted")
+    leaving_client.close()
+    await wait_until_disconnected(harness)
+    assert harness.proxy.listener.context.counters.closes == {
+        CloseReason.REQUEST_TIMEOUT: 1,
+        CloseReason.FINAL_RESPONSE: 1,
+        CloseReason.BY_CLIENT: 1,
+    }
