Remove what the memory budget left without a use

ResponseGate.is_closed and ClientConnection.is_reading_paused had no caller, and RequestReader.take_request raised an error of its own only so that its caller need not pass the request that it had already looked at. Behaviour is the same.

--- a/loadbalancer/network/client/connection.py
+++ b/loadbalancer/network/client/connection.py
@@ -82,11 +82,6 @@
         """Whether input is discarded: the connection is closing, or its input was rejected."""
         return self._transport.discards_input
 
-    @property
-    def is_reading_paused(self) -> bool:
-        """Whether reading is paused until there is room, or until the next turn."""
-        return self._transport.is_reading_paused
-
     @property
     def is_abort_scheduled(self) -> bool:
         """Whether a timer will abort the connection, one side of which is already closed."""
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -121,10 +121,10 @@
         # The end of the connection may follow input that is still unread: the client may have gone.
         if not _is_answered_here(first) and not self._limits.is_input_read():
             return False
-        request = self.reader.take_request()
-        request.set_responder(self)
-        self._current_request = request
-        self._handle_request(request)
+        self.reader.take_request(first)
+        first.set_responder(self)
+        self._current_request = first
+        self._handle_request(first)
         return True
 
     def _parse_next(self) -> bool:
--- a/loadbalancer/network/client/request_reader.py
+++ b/loadbalancer/network/client/request_reader.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from loadbalancer.errors import InvalidStateError
 from loadbalancer.network.client.incoming_request import IncomingRequest, RefusedRequests
 from loadbalancer.network.client.receive_buffer import ArrivalEstimate, ReceiveBuffer
 from loadbalancer.network.client.request_arrival import RequestArrival
@@ -25,10 +24,6 @@
 """Number of bytes parsed at a time within a body."""
 
 
-class RefusedRequestTakenError(InvalidStateError):
-    """A refused request was taken from the queue as if it were one to handle."""
-
-
 class RequestReader:
     """Buffers the bytes of one connection and parses them into requests, a slice at a time.
 
@@ -153,13 +148,10 @@
             return HEAD_TOO_LARGE
         return None
 
-    def take_request(self) -> IncomingRequest:
-        """Remove and return the first request of the queue, which must not be a refused one."""
-        request = self.queue.pop(0)
-        if isinstance(request, RefusedRequests):
-            raise RefusedRequestTakenError
+    def take_request(self, request: IncomingRequest) -> None:
+        """Remove a request, the first of the queue."""
+        del self.queue[0]
         self._queued_bytes -= request.size_bytes + QUEUED_REQUEST_BYTES
-        return request
 
     def take_refused_request(self, refused: RefusedRequests) -> bool:
         """Remove one refused request, the first of the queue; return whether the connection may stay open."""
--- a/loadbalancer/network/upstream/response_gate.py
+++ b/loadbalancer/network/upstream/response_gate.py
@@ -33,12 +33,7 @@
     def __init__(self, budget: MemoryBudget) -> None:
         self._budget = budget
         self._receivers: dict[Receiver, None] = {}  # in the order in which their requests were sent
-        self._is_closed = False
-
-    @property
-    def is_closed(self) -> bool:
-        """Whether all receivers but the first are paused."""
-        return self._is_closed
+        self._is_closed = False  # whether all receivers but the first are paused
 
     def add(self, receiver: Receiver) -> None:
         """Add a connection on which a request is about to be sent."""
