Testbed: share the setup of runs with one real balancer

The run hostile_clients had written again what added_time does: a row for each size on a new loop, and upstreams, discovery and a configuration for one balancer. Both use testbed/runs/single_balancer.py now. Also one fake loop for the two tests of the measured lag, and a plain coroutine where a function returned one. Plans, columns and checks are the same.

--- a/testbed/load/hostile_clients.py
+++ b/testbed/load/hostile_clients.py
@@ -18,7 +18,7 @@
 from testbed.measurement.resource_usage import LoopLagMonitor
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterator
+    from collections.abc import Callable, Iterator
     from multiprocessing.connection import Connection
 
     from loadbalancer.configuration import Address
@@ -234,13 +234,9 @@
     pipe.send(HostileReport(sum(client.connections for client in clients), lag.take_lag().max_s))
 
 
-def _wait_until_readable(pipe: Connection) -> Coroutine[None, None, None]:
+async def _wait_until_readable(pipe: Connection) -> None:
     loop = asyncio.get_running_loop()
     readable = asyncio.Event()
     loop.add_reader(pipe.fileno(), readable.set)
-
-    async def wait() -> None:
-        await readable.wait()
-        loop.remove_reader(pipe.fileno())
-
-    return wait()
+    await readable.wait()
+    loop.remove_reader(pipe.fileno())
--- a/testbed/runs/added_time.py
+++ b/testbed/runs/added_time.py
@@ -10,28 +10,24 @@
 import asyncio
 import gc
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
-import uvloop
-
-from testbed import settings
-from testbed.balancer.real import SOURCE_TREE_COMMAND, RealBalancer, find_free_address
-from testbed.discovery.service import Discovery
+from testbed.balancer.real import SOURCE_TREE_COMMAND, RealBalancer
 from testbed.http import client as http_client
 from testbed.load import streams as load
 from testbed.measurement import latency
 from testbed.measurement.resource_usage import CoreMonitor, ResourceUsage, measure_usage
 from testbed.results import MeasuredRow, Row, RunResult, fit_columns, stored_as
 from testbed.runs import load_plan
-from testbed.upstream.group import UpstreamProcess
+from testbed.runs.single_balancer import measure_sizes, single_balancer_setup
 
 if TYPE_CHECKING:
     from structlog.typing import FilteringBoundLogger
 
     from testbed.upstream.behaviour import UpstreamCounts
+    from testbed.upstream.group import UpstreamProcess
 
-_FIRST_AGENT_HOST = "127.79.0.1"
-_BALANCER_HOST = "127.78.0.1"
 _MIB = 2**20
 _FITTED_COLUMNS = ("added_50_ms", "added_99_ms", "over_median_99_ms", "processor_us_a_call", "rest_us_a_s")
 """The stored columns for which a line is fitted against the length of the list."""
@@ -96,12 +92,7 @@
 
 def measure(plan: Plan, log: FilteringBoundLogger) -> RunResult[AddedTimeRow]:
     """Measure a balancer for each length of the list, and fit lines against the length."""
-    result: RunResult[AddedTimeRow] = RunResult()
-    for size in plan.sizes:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            measured_row = runner.run(_measure_size(plan, size))
-        result.add(measured_row)
-        log.info("measured", **measured_row.row.columns(), doubts=measured_row.invalidity_reasons)
+    result = measure_sizes(plan.sizes, partial(_measure_size, plan), log)
     if len(plan.sizes) > 1:
         result.fits = [fit_columns(result.rows, y, "entries") for y in _FITTED_COLUMNS]
     return result
@@ -109,31 +100,13 @@
 
 async def _measure_size(plan: Plan, size: int) -> MeasuredRow[AddedTimeRow]:
     """Start upstreams, a discovery service and a balancer, and measure the balancer."""
-    upstreams = UpstreamProcess(size, plan.service_ms, plan.seed)
-    discovery = Discovery()
-    try:
-        await discovery.set_first_host(_FIRST_AGENT_HOST)
-        entries = settings.endpoint_entries(size, seed=plan.seed, addresses=upstreams.addresses)
-        discovery.replace_entries(entries)
-        balancer_settings = settings.balancer_settings(balancers=size)
-        text = settings.configuration_text(
-            "n1",
-            find_free_address(_BALANCER_HOST),
-            discovery.agent_address(0),
-            entries,
-            balancer_settings,
-            seed=plan.seed,
-            list_version=discovery.version,
-        )
-        balancer = await RealBalancer.start(text, SOURCE_TREE_COMMAND)
+    async with single_balancer_setup(size, plan.service_ms, plan.seed, balancers=size) as setup:
+        balancer = await RealBalancer.start(setup.configuration_text, SOURCE_TREE_COMMAND)
         try:
             await balancer.wait_until_ready()
-            return await _Measurement(plan, size, upstreams, balancer).run()
+            return await _Measurement(plan, size, setup.upstreams, balancer).run()
         finally:
             await balancer.stop()
-    finally:
-        await discovery.stop()
-        upstreams.stop()
 
 
 @dataclass(frozen=True, slots=True)
--- a/testbed/runs/hostile_clients.py
+++ b/testbed/runs/hostile_clients.py
@@ -9,14 +9,13 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Annotated
 
-import uvloop
 from pydantic import Field
 
 from testbed import experiment, settings
-from testbed.balancer.real import SOURCE_TREE_COMMAND, RealBalancer, find_free_address
-from testbed.discovery.service import Discovery
+from testbed.balancer.real import SOURCE_TREE_COMMAND, RealBalancer
 from testbed.http.client import request_ids
 from testbed.load.honest_clients import TIMED_OUT, HonestClients, HonestReport
 from testbed.load.hostile_clients import HostileClientProcess, HostileKind, HostileReport
@@ -27,13 +26,11 @@
     peak_resident_bytes,
 )
 from testbed.results import MeasuredRow, Row, RunResult, fit_columns
-from testbed.upstream.group import UpstreamProcess
+from testbed.runs.single_balancer import measure_sizes, single_balancer_setup
 
 if TYPE_CHECKING:
     from structlog.typing import FilteringBoundLogger
 
-_FIRST_AGENT_HOST = "127.79.0.1"
-_BALANCER_HOST = "127.78.0.1"
 _MIB = 2**20
 _MAX_STAND_IN_LAG_S = 0.1
 _HOSTILE_SEED_OFFSET = 1
@@ -103,39 +100,19 @@
 
 def measure(plan: Plan, log: FilteringBoundLogger) -> RunResult[HostileClientsRow]:
     """Measure a balancer for each number of hostile clients."""
-    result: RunResult[HostileClientsRow] = RunResult()
-    for size in plan.sizes:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            measured_row = runner.run(_measure_size(plan, size))
-        result.add(measured_row)
-        log.info("measured", **measured_row.row.columns(), doubts=measured_row.invalidity_reasons)
+    result = measure_sizes(plan.sizes, partial(_measure_size, plan), log)
     if len(plan.sizes) > 1:
         result.fits = [fit_columns(result.rows, "peak_mib", "hostile_clients")]
     return result
 
 
 async def _measure_size(plan: Plan, size: int) -> MeasuredRow[HostileClientsRow]:
-    """Start upstreams, a discovery service and a balancer, and measure the balancer."""
-    upstreams = UpstreamProcess(plan.upstreams, plan.service_ms, plan.seed)
-    discovery = Discovery()
-    try:
-        await discovery.set_first_host(_FIRST_AGENT_HOST)
-        entries = settings.endpoint_entries(plan.upstreams, seed=plan.seed, addresses=upstreams.addresses)
-        discovery.replace_entries(entries)
-        text = settings.configuration_text(
-            "n1",
-            find_free_address(_BALANCER_HOST),
-            discovery.agent_address(0),
-            entries,
-            settings.balancer_settings(balancers=1),
-            seed=plan.seed,
-            list_version=discovery.version,
-            resource_limits={"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.descriptors},
-        )
-        return await _Measurement(plan, size, text).run()
-    finally:
-        await discovery.stop()
-        upstreams.stop()
+    """Start upstreams and a discovery service, and measure a balancer."""
+    resource_limits = {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.descriptors}
+    async with single_balancer_setup(
+        plan.upstreams, plan.service_ms, plan.seed, balancers=1, resource_limits=resource_limits
+    ) as setup:
+        return await _Measurement(plan, size, setup.configuration_text).run()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/testbed/measurement/test_resource_usage.py
+++ b/tests/testbed/measurement/test_resource_usage.py
@@ -57,16 +57,22 @@
     assert CoreMonitor().invalidity_reasons("rest") == []
 
 
-def test_loop_lag_is_never_negative() -> None:
-    """A timer that fires exactly on time can be early by a rounding error."""
+def make_loop(now: float) -> tuple[Any, list[tuple[float, Callable[[], None]]]]:
+    """Return a loop whose time the test sets, and the calls that are scheduled on it."""
     calls: list[tuple[float, Callable[[], None]]] = []
-    loop: Any = SimpleNamespace(now=100.0, time=lambda: loop.now)
+    loop: Any = SimpleNamespace(now=now, time=lambda: loop.now)
 
     def call_at(scheduled_at: float, callback: Callable[[], None]) -> Any:
         calls.append((scheduled_at, callback))
         return SimpleNamespace(cancel=calls.clear)
 
     loop.call_at = call_at
+    return loop, calls
+
+
+def test_loop_lag_is_never_negative() -> None:
+    """A timer that fires exactly on time can be early by a rounding error."""
+    loop, calls = make_loop(now=100.0)
     lag_monitor = LoopLagMonitor(loop)
     scheduled_at, callback = calls.pop()
     loop.now = math.nextafter(scheduled_at, 0.0)
@@ -75,14 +81,7 @@
 
 
 def test_loop_lag_is_timer_lateness() -> None:
-    calls: list[tuple[float, Callable[[], None]]] = []
-    loop: Any = SimpleNamespace(now=0.0, time=lambda: loop.now)
-
-    def call_at(scheduled_at: float, callback: Callable[[], None]) -> Any:
-        calls.append((scheduled_at, callback))
-        return SimpleNamespace(cancel=calls.clear)
-
-    loop.call_at = call_at
+    loop, calls = make_loop(now=0.0)
     lag_monitor = LoopLagMonitor(loop)
     for lag_s in (0.0, 0.0, 0.25, 0.0):
         scheduled_at, callback = calls.pop()
