--- a/review/standins.py
+++ b/review/standins.py
@@ -436,6 +436,16 @@
         if self._process is not None:
             self._process.send_signal(number)
 
+    async def wait_for_end(self, timeout_s: float) -> bool:
+        """Wait until the process has ended; return false if it has not within a time."""
+        if self._process is None:
+            return True
+        try:
+            await asyncio.wait_for(self._process.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
     def log(self) -> str:
         """Return what the process has logged."""
         return (self._folder / f"{self.name}.log").read_text(encoding="utf-8", errors="replace")
