--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -15,12 +16,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-if TYPE_CHECKING:
-    import signal
-
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 RULE_KEPT, RULE_BROKEN, COULD_NOT_RUN = 0, 1, 2
@@ -472,6 +470,11 @@
     """Run a case, which returns whether the rule was kept, and end this process with its exit status."""
 
     async def limited() -> bool:
+        # A script that is ended by SIGTERM ends the balancer too.
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        if task is not None:
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        loop.set_exception_handler(lambda _, context: record.write(f"event loop: {context.get('message')}"))
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             async with asyncio.timeout(timeout_s):
                 return await case(Path(temporary), record)
@@ -480,7 +483,7 @@
     record.write(f"disruption: {'on' if WITH_TROUBLE else 'off'}")
     try:
         status = RULE_KEPT if asyncio.run(limited()) else RULE_BROKEN
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except (CannotRunError, OSError, TimeoutError, asyncio.CancelledError) as error:
         record.write(f"could not run: {error!r}")
         status = COULD_NOT_RUN
     record.write(f"exit status {status}")
