--- a/review/standins.py
+++ b/review/standins.py
@@ -424,6 +424,14 @@
             await asyncio.sleep(0.05)
         raise CannotRunError("the balancer did not get ready: " + self.log()[-500:])
 
+    @property
+    def pid(self) -> int:
+        """The id of the process."""
+        if self._process is None:
+            message = "the balancer was not started"
+            raise CannotRunError(message)
+        return self._process.pid
+
     def is_running(self) -> bool:
         """Return whether the process runs."""
         return self._process is not None and self._process.returncode is None
