--- a/loadbalancer/network/client/connection.py
+++ b/loadbalancer/network/client/connection.py
@@ -8,7 +8,7 @@
 from loadbalancer.network.client import timeouts
 from loadbalancer.network.client.expiry import ConnectionExpiry
 from loadbalancer.network.client.pipeline import RequestPipeline
-from loadbalancer.network.client.request_reader import RequestReader
+from loadbalancer.network.client.requests.request_reader import RequestReader
 from loadbalancer.network.client.transport import ClientTransport
 from loadbalancer.network.counters import CloseReason
 
--- a/loadbalancer/network/client/context.py
+++ b/loadbalancer/network/client/context.py
@@ -9,7 +9,7 @@
     import asyncio
     from collections.abc import Callable
 
-    from loadbalancer.network.client.incoming_request import RequestHandler
+    from loadbalancer.network.client.requests.incoming_request import RequestHandler
     from loadbalancer.network.counters import ClientCounters
     from loadbalancer.network.memory_budget import MemoryBudget
     from loadbalancer.network.turn_scheduler import TurnScheduler
--- a/loadbalancer/network/client/expiry.py
+++ b/loadbalancer/network/client/expiry.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.network.client import timeouts
-from loadbalancer.network.client.rejection import Rejection
+from loadbalancer.network.client.requests.rejection import Rejection
 from loadbalancer.network.counters import CloseReason
 
 if TYPE_CHECKING:
     from loadbalancer.network.client.pipeline import RequestPipeline
-    from loadbalancer.network.client.request_reader import RequestReader
+    from loadbalancer.network.client.requests.request_reader import RequestReader
     from loadbalancer.network.client.transport import ClientTransport
 
 REQUEST_TIMED_OUT = Rejection(408, "the request did not come to its end")
--- a/loadbalancer/network/client/input_limits.py
+++ b/loadbalancer/network/client/input_limits.py
@@ -8,7 +8,7 @@
 from loadbalancer.network.memory_budget import HeldKind
 
 if TYPE_CHECKING:
-    from loadbalancer.network.client.request_reader import RequestReader
+    from loadbalancer.network.client.requests.request_reader import RequestReader
     from loadbalancer.network.client.transport import ClientTransport
     from loadbalancer.network.memory_budget import MemoryBudget
 
--- a/loadbalancer/network/client/listener.py
+++ b/loadbalancer/network/client/listener.py
@@ -21,7 +21,7 @@
     from collections.abc import Callable
 
     from loadbalancer.configuration import Configuration
-    from loadbalancer.network.client.incoming_request import RequestHandler
+    from loadbalancer.network.client.requests.incoming_request import RequestHandler
     from loadbalancer.network.memory_budget import MemoryBudget
 
 ACCEPT_BACKLOG = 2_048
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from loadbalancer.network.client.incoming_request import RefusedRequests
 from loadbalancer.network.client.input_limits import InputLimits
-from loadbalancer.network.client.rejection import Rejection
+from loadbalancer.network.client.requests.incoming_request import RefusedRequests
+from loadbalancer.network.client.requests.rejection import Rejection
 from loadbalancer.network.client.response_writer import ResponseWriter
 
 if TYPE_CHECKING:
     from loadbalancer.network.client.context import ConnectionContext
-    from loadbalancer.network.client.incoming_request import IncomingRequest
-    from loadbalancer.network.client.request_reader import RequestReader
+    from loadbalancer.network.client.requests.incoming_request import IncomingRequest
+    from loadbalancer.network.client.requests.request_reader import RequestReader
     from loadbalancer.network.client.transport import ClientTransport
     from loadbalancer.network.headers import Headers
 
--- /dev/null
+++ b/loadbalancer/network/client/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the requests of one client connection: buffers, parses and validates them."""
--- a/loadbalancer/network/client/incoming_request.py
+++ b/loadbalancer/network/client/requests/incoming_request.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from loadbalancer.network.client.request_head import RequestHead
+    from loadbalancer.network.client.requests.request_head import RequestHead
     from loadbalancer.network.headers import Headers
 
 
--- a/loadbalancer/network/client/request_head.py
+++ b/loadbalancer/network/client/requests/request_head.py
@@ -5,7 +5,7 @@
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
-from loadbalancer.network.client.rejection import Rejection, RequestRejectedError
+from loadbalancer.network.client.requests.rejection import Rejection, RequestRejectedError
 from loadbalancer.network.headers import MAX_BODY_BYTES, Headers, end_to_end_headers
 from loadbalancer.settings import Idempotency
 
--- a/loadbalancer/network/client/request_parser.py
+++ b/loadbalancer/network/client/requests/request_parser.py
@@ -7,9 +7,13 @@
 import httptools
 
 from loadbalancer.errors import InvalidStateError
-from loadbalancer.network.client.incoming_request import IncomingRequest
-from loadbalancer.network.client.rejection import Rejection, RequestRejectedError
-from loadbalancer.network.client.request_head import RequestHead, read_refused_head, read_request_head
+from loadbalancer.network.client.requests.incoming_request import IncomingRequest
+from loadbalancer.network.client.requests.rejection import Rejection, RequestRejectedError
+from loadbalancer.network.client.requests.request_head import (
+    RequestHead,
+    read_refused_head,
+    read_request_head,
+)
 from loadbalancer.network.headers import (
     FIELD_WHITE_SPACE,
     MAX_BODY_BYTES,
@@ -21,7 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from loadbalancer.network.client.request_arrival import RequestArrival
+    from loadbalancer.network.client.requests.request_arrival import RequestArrival
     from loadbalancer.settings import RequestClass
 
 MALFORMED_REQUEST = Rejection(400, "malformed request")
--- a/loadbalancer/network/client/request_reader.py
+++ b/loadbalancer/network/client/requests/request_reader.py
@@ -6,15 +6,15 @@
 import time
 from typing import TYPE_CHECKING
 
-from loadbalancer.network.client.incoming_request import IncomingRequest, RefusedRequests
-from loadbalancer.network.client.receive_buffer import ArrivalEstimate, ReceiveBuffer
-from loadbalancer.network.client.request_arrival import RequestArrival
-from loadbalancer.network.client.request_parser import HEAD_TOO_LARGE, RequestParser
+from loadbalancer.network.client.requests.incoming_request import IncomingRequest, RefusedRequests
+from loadbalancer.network.client.requests.receive_buffer import ArrivalEstimate, ReceiveBuffer
+from loadbalancer.network.client.requests.request_arrival import RequestArrival
+from loadbalancer.network.client.requests.request_parser import HEAD_TOO_LARGE, RequestParser
 from loadbalancer.network.headers import MAX_HEAD_BYTES
 from loadbalancer.network.memory_budget import HEADER_FIELD_BYTES, QUEUED_REQUEST_BYTES
 
 if TYPE_CHECKING:
-    from loadbalancer.network.client.rejection import Rejection
+    from loadbalancer.network.client.requests.rejection import Rejection
     from loadbalancer.settings import RequestClass
 
 HEAD_SLICE_BYTES = 512
--- a/loadbalancer/network/client/response_writer.py
+++ b/loadbalancer/network/client/response_writer.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from loadbalancer.network.client.context import ConnectionContext
-    from loadbalancer.network.client.rejection import Rejection
+    from loadbalancer.network.client.requests.rejection import Rejection
     from loadbalancer.network.client.transport import ClientTransport
     from loadbalancer.network.headers import Headers
 
--- a/loadbalancer/network/open_requests.py
+++ b/loadbalancer/network/open_requests.py
@@ -11,7 +11,7 @@
     import asyncio
     from collections.abc import Iterator
 
-    from loadbalancer.network.client.incoming_request import IncomingRequest
+    from loadbalancer.network.client.requests.incoming_request import IncomingRequest
     from loadbalancer.network.headers import Headers
     from loadbalancer.network.memory_budget import MemoryBudget
     from loadbalancer.network.upstream.attempt import UpstreamAttempt
--- a/loadbalancer/network/proxy.py
+++ b/loadbalancer/network/proxy.py
@@ -29,7 +29,7 @@
     from collections.abc import Callable
 
     from loadbalancer.configuration import Configuration, EndpointList
-    from loadbalancer.network.client.incoming_request import IncomingRequest
+    from loadbalancer.network.client.requests.incoming_request import IncomingRequest
 
 IDLE_CHECK_INTERVAL_S = 1.0
 """Interval at which upstream connections that have exceeded the idle time limit are closed."""
--- a/loadbalancer/network/upstream/attempt_runner.py
+++ b/loadbalancer/network/upstream/attempt_runner.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable
 
     from loadbalancer.actions import CancelAttempt, StartAttempt
-    from loadbalancer.network.client.incoming_request import IncomingRequest
+    from loadbalancer.network.client.requests.incoming_request import IncomingRequest
     from loadbalancer.network.clock import Clock
     from loadbalancer.network.open_requests import OpenRequests, ProxiedRequest
     from loadbalancer.network.response_parser import Response
--- a/loadbalancer/network/upstream/request_bytes.py
+++ b/loadbalancer/network/upstream/request_bytes.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from loadbalancer.network.client.incoming_request import IncomingRequest
+    from loadbalancer.network.client.requests.incoming_request import IncomingRequest
 
 MIN_DEADLINE_US = 1.0
 """Minimum value of X-Deadline, which has to be above 0."""
--- a/tests/network/client/test_receive_buffer.py
+++ b/tests/network/client/test_receive_buffer.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from loadbalancer.network.client.receive_buffer import MERGED_PERIOD_S, ArrivalEstimate, ReceiveBuffer
+from loadbalancer.network.client.requests.receive_buffer import (
+    MERGED_PERIOD_S,
+    ArrivalEstimate,
+    ReceiveBuffer,
+)
 
 
 def test_bytes_keep_their_order_and_arrival_time() -> None:
--- a/tests/network/test_connection_reuse.py
+++ b/tests/network/test_connection_reuse.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from loadbalancer.events import Outcome
-from loadbalancer.network.client import request_reader
+from loadbalancer.network.client.requests import request_reader
 from tests.support.event_recorder import outcomes, record_events
 from tests.support.http_messages import ReceivedMessage, response, status
 from tests.support.scripted_upstream import Upstream
