Forward the body of a request that offers another protocol

A client that sent a POST with Upgrade was told 200, but the upstream had run the request without its body.

Cause: httptools tells llhttp to skip the body of a request that offers another protocol. It calls on_message_complete at the end of the head and raises HttpParserUpgrade with the position of the first byte of the body; traced with the bytes of the case. RequestParser took that for the end of the request, and gave the rest to a new parser that expected a head.

HttpParser ignores the offer: behind such a head it goes on with a parser that has read a head of the same framing without the offer, so that httptools itself finds the end of the body. `Connection: close` is kept across the offer too.

--- a/loadbalancer/network/client/requests/request_parser.py
+++ b/loadbalancer/network/client/requests/request_parser.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from loadbalancer.errors import InvalidStateError
+from loadbalancer.network.client.requests.http_parser import HttpParser
 from loadbalancer.network.client.requests.incoming_request import IncomingRequest
 from loadbalancer.network.client.requests.rejection import Rejection, RequestRejectedError
 from loadbalancer.network.client.requests.request_head import (
@@ -34,10 +34,6 @@
 BODY_TOO_LARGE = Rejection(413, "body too large")
 
 
-class ParserClosedError(InvalidStateError):
-    """Bytes were passed to a parser that is closed."""
-
-
 class _PartialHead:
     """The target and the header fields of a head that is not complete, within their limits."""
 
@@ -63,7 +59,7 @@
 
 
 class RequestParser:
-    """Parses the bytes of one connection into requests; httptools calls the `on_...` methods.
+    """Parses the bytes of one connection into requests; `HttpParser` calls the `on_...` methods.
 
     Attributes:
         completed_count: The number of complete requests so far.
@@ -102,7 +98,7 @@
         self._classes = classes
         self._arrival = arrival
         self._on_request = on_request
-        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._parser = HttpParser(self)
         self._partial_head = _PartialHead()
         self._head: RequestHead | None = None  # of a request whose body is not complete yet
         self._body = bytearray()
@@ -139,8 +135,7 @@
             The rejection of the current request if it is not acceptable; nothing may be parsed after it.
         """
         try:
-            while data:
-                data = self._feed_to_upgrade(data)
+            self._parser.feed(data)
         except httptools.HttpParserError as error:
             # An exception that a callback raised is the context of the exception that httptools raises.
             cause = error.__context__
@@ -154,26 +149,12 @@
         self._body = bytearray()
 
     def close(self) -> None:
-        """Release all memory, and break the reference cycle with httptools; nothing may be parsed after."""
+        """Release all memory, and break the reference cycle with the parser; nothing may be parsed after."""
         self._partial_head = _PartialHead()
         self._body = bytearray()
         self._head = None
         self._on_request = _ignore_request
-        self._parser = None
-
-    def _feed_to_upgrade(self, data: bytes) -> bytes:
-        """Parse up to a request that asks for another protocol; return the rest, which is HTTP/1.1 too."""
-        try:
-            self._require_parser().feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            self._parser = httptools.HttpRequestParser(self)
-            return data[int(upgrade.args[0]) :]
-        return b""
-
-    def _require_parser(self) -> httptools.HttpRequestParser:
-        if self._parser is None:
-            raise ParserClosedError
-        return self._parser
+        self._parser.close()
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
@@ -205,9 +186,10 @@
         fields, partial_head.fields = partial_head.fields, []
         if self._discards_body:
             self._head = read_refused_head(fields)
-            return
-        method = self._require_parser().get_method()
-        self._head = read_request_head(method, partial_head.target, fields, self._classes)
+        else:
+            method = self._parser.method()
+            self._head = read_request_head(method, partial_head.target, fields, self._classes)
+        self._parser.ignore_offer(fields)
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body.
@@ -227,13 +209,15 @@
         Raises:
             RequestRejectedError: The request has no complete head.
         """
+        if self._parser.is_at_offer:
+            return
         head = self._head
         if head is None:
             raise RequestRejectedError(MALFORMED_REQUEST)
         self._head = None
         self._partial_head.fields = []  # drops trailers
         self.completed_count += 1
-        self.keep_alive = self._require_parser().should_keep_alive()
+        self.keep_alive = self._parser.should_keep_alive()
         received_at = self._arrival.record_complete_request()
         if self._discards_body:
             self._on_request(None)
--- /dev/null
+++ b/tests/network/client/test_message_boundaries.py
@@ -0,0 +1,103 @@
+"""The balancer and its parser agree on where a request ends, whatever its form and its pieces."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from loadbalancer.network.client.requests.request_arrival import RequestArrival
+from loadbalancer.network.client.requests.request_parser import RequestParser
+from tests.support.configurations import config_text, configuration
+from tests.support.http_messages import status
+from tests.support.scripted_upstream import Upstream
+
+if TYPE_CHECKING:
+    from loadbalancer.network.client.requests.incoming_request import IncomingRequest
+    from loadbalancer.network.client.requests.rejection import Rejection
+    from tests.support.fixture_types import StartProxy
+
+UPGRADE_OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAEAAEAAAAIAAAAB\r\n"
+# A body that is itself a request.
+QUOTED_REQUEST = b"GET /read HTTP/1.1\r\nX-Class: read\r\nX-Request-Id: quoted\r\nX-Deadline: 900m\r\n\r\n"
+
+
+def post(request_id: bytes, fields: bytes, body: bytes) -> bytes:
+    """Return a request with a body; `fields` are complete lines that give its framing."""
+    head = b"POST /pay/x HTTP/1.1\r\nX-Class: pay\r\nX-Request-Id: %b\r\nX-Deadline: 900m\r\n" % request_id
+    return head + fields + b"\r\n" + body
+
+
+def with_length(request_id: bytes, body: bytes, fields: bytes = b"") -> bytes:
+    return post(request_id, fields + b"Content-Length: %d\r\n" % len(body), body)
+
+
+def chunked(request_id: bytes, body: bytes, fields: bytes = b"", trailers: bytes = b"") -> bytes:
+    chunks = [b"%x;extension=1\r\n%b\r\n" % (len(part), part) for part in (body[:5], body[5:]) if part]
+    framing = fields + b"Transfer-Encoding: chunked\r\n"
+    return post(request_id, framing, b"".join([*chunks, b"0\r\n", trailers, b"\r\n"]))
+
+
+class ParsedInput:
+    """The result of parsing input in pieces of one size."""
+
+    def __init__(self, data: bytes, piece_bytes: int, *, is_refusing: bool = False) -> None:
+        self.requests: list[IncomingRequest | None] = []
+        self.rejection: Rejection | None = None
+        settings = configuration(config_text("127.0.0.1:1", [])).settings
+        classes = {request_class.name: request_class for request_class in settings.classes}
+        parser = RequestParser(classes, RequestArrival(0.0), self.requests.append)
+        parser.is_refusing = is_refusing
+        for start in range(0, len(data), piece_bytes):
+            self.rejection = parser.feed(data[start : start + piece_bytes])
+            if self.rejection is not None:
+                break
+
+    def ids_and_bodies(self) -> list[tuple[bytes, bytes]]:
+        return [(request.head.request_id, request.body) for request in self.requests if request is not None]
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 7, 64, 10_000])
+@pytest.mark.parametrize("body", [b"", b"{}", QUOTED_REQUEST])
+@pytest.mark.parametrize("fields", [b"", UPGRADE_OFFER])
+def test_body_ends_where_its_framing_says(fields: bytes, body: bytes, piece_bytes: int) -> None:
+    """Guards against request smuggling: the body of a request that offers a protocol became requests."""
+    data = b"".join(
+        [
+            with_length(b"a1", body, fields),
+            chunked(b"a2", body, fields),
+            chunked(b"a3", body, fields, trailers=b"X-Trailer: 1\r\n" + UPGRADE_OFFER),
+            with_length(b"a4", body),
+        ]
+    )
+    parsed = ParsedInput(data, piece_bytes)
+    assert parsed.rejection is None
+    assert parsed.ids_and_bodies() == [(b"a1", body), (b"a2", body), (b"a3", body), (b"a4", body)]
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 10_000])
+@pytest.mark.parametrize("fields", [b"", UPGRADE_OFFER])
+def test_refused_body_ends_where_its_framing_says(fields: bytes, piece_bytes: int) -> None:
+    """Guards against request smuggling while requests are refused: each one is refused exactly once."""
+    data = with_length(b"a1", QUOTED_REQUEST, fields) + chunked(b"a2", QUOTED_REQUEST, fields)
+    parsed = ParsedInput(data, piece_bytes, is_refusing=True)
+    assert parsed.rejection is None
+    assert parsed.requests == [None, None]
+
+
+async def test_request_that_offers_protocol_is_forwarded_with_its_body(start_proxy: StartProxy) -> None:
+    """Guards against request smuggling: the body was forwarded as a request, the request without its body."""
+    upstream = Upstream()
+    harness = await start_proxy(upstream)
+    client = await harness.connect_client()
+    for number, body in enumerate([b"{}", QUOTED_REQUEST]):
+        client.writer.write(with_length(b"offer%d" % number, body, UPGRADE_OFFER))
+        client.writer.write(with_length(b"next%d" % number, b"[]"))
+        assert status(await client.read_response()) == 200
+        assert status(await client.read_response()) == 200
+    assert [(request.headers["x-request-id"], request.body) for request in upstream.received] == [
+        ("offer0", b"{}"),
+        ("next0", b"[]"),
+        ("offer1", QUOTED_REQUEST),
+        ("next1", b"[]"),
+    ]
