Reject other methods while requests are refused for memory

A refused request was checked for its framing alone. A HEAD request got the refusal with a body and kept its connection, though a response to HEAD ends with its head: the client would read the body as the begin of its next response. CONNECT, whose end httptools sees elsewhere, was let through too. Both now get 405 and the end of the connection, as while nothing is refused. The three new cases of test_message_boundaries.py failed before.

--- a/loadbalancer/network/client/requests/request_head.py
+++ b/loadbalancer/network/client/requests/request_head.py
@@ -117,15 +117,17 @@
     )
 
 
-def read_refused_head(headers: Headers) -> RequestHead:
-    """Check only the framing of a request that is refused, so that its end is found; return an empty head.
+def read_refused_head(method: bytes, headers: Headers) -> RequestHead:
+    """Check only what the ends of a refused request and of its response depend on; return an empty head.
 
     Args:
+        method: The method; a response to HEAD ends with its head.
         headers: The headers, with names in lower case.
 
     Raises:
-        RequestRejectedError: The length of the body is not certain.
+        RequestRejectedError: The method is not supported, or the length of the body is not certain.
     """
+    _check_method_is_supported(method)
     header_map = dict(headers)
     if len(header_map) < len(headers):
         _check_unique_headers(headers)
@@ -181,10 +183,14 @@
     return request_class
 
 
-def _check_method(method: bytes, request_class: RequestClass, header_map: HeaderMap) -> None:
-    """Check that the method, the idempotency key and the body are consistent with the class."""
+def _check_method_is_supported(method: bytes) -> None:
     if method not in (b"GET", b"POST"):
         raise RequestRejectedError(Rejection(405, "GET or POST"))
+
+
+def _check_method(method: bytes, request_class: RequestClass, header_map: HeaderMap) -> None:
+    """Check that the method, the idempotency key and the body are consistent with the class."""
+    _check_method_is_supported(method)
     has_key = b"idempotency-key" in header_map
     requires_key = request_class.idempotency is Idempotency.KEYED
     required_method = b"GET" if request_class.idempotency is Idempotency.SAFE else b"POST"
--- a/loadbalancer/network/client/requests/request_parser.py
+++ b/loadbalancer/network/client/requests/request_parser.py
@@ -184,10 +184,10 @@
         partial_head = self._partial_head
         partial_head.check_size()
         fields, partial_head.fields = partial_head.fields, []
+        method = self._parser.method()
         if self._discards_body:
-            self._head = read_refused_head(fields)
+            self._head = read_refused_head(method, fields)
         else:
-            method = self._parser.method()
             self._head = read_request_head(method, partial_head.target, fields, self._classes)
         self._parser.ignore_offer(fields)
 
--- a/tests/network/client/test_message_boundaries.py
+++ b/tests/network/client/test_message_boundaries.py
@@ -85,6 +85,16 @@
     assert parsed.requests == [None, None]
 
 
+@pytest.mark.parametrize("method", [b"HEAD", b"CONNECT", b"PUT"])
+def test_refused_request_with_other_method_ends_the_connection(method: bytes) -> None:
+    """Guards against a refusal with a body in response to HEAD, which the client reads as a response."""
+    data = with_length(b"a1", b"") + method + b" /read HTTP/1.1\r\n\r\n" + with_length(b"a2", b"")
+    parsed = ParsedInput(data, 10_000, is_refusing=True)
+    assert parsed.requests == [None]
+    assert parsed.rejection is not None
+    assert parsed.rejection.status == 405
+
+
 async def test_request_that_offers_protocol_is_forwarded_with_its_body(start_proxy: StartProxy) -> None:
     """Guards against request smuggling: the body was forwarded as a request, the request without its body."""
     upstream = Upstream()
