Ignore input behind a request that closes its connection

RFC 9112, section 9.6: nothing is processed behind it.

Such input is not parsed, and dropped with the end of the connection. The ten new cases of test_message_boundaries.py failed before.

--- a/loadbalancer/network/client/requests/request_parser.py
+++ b/loadbalancer/network/client/requests/request_parser.py
@@ -137,6 +137,8 @@
         try:
             self._parser.feed(data)
         except httptools.HttpParserError as error:
+            if not self.keep_alive:
+                return None  # input behind the last request of the connection, which is ignored
             # An exception that a callback raised is the context of the exception that httptools raises.
             cause = error.__context__
             return cause.rejection if isinstance(cause, RequestRejectedError) else MALFORMED_REQUEST
--- a/loadbalancer/network/client/requests/request_reader.py
+++ b/loadbalancer/network/client/requests/request_reader.py
@@ -108,9 +108,9 @@
         """Return whether there is unparsed input, and no parsed request that waits to be handled.
 
         A parsed request occupies far more memory than its bytes, so it is parsed only once it may begin.
-        Refused ones occupy none.
+        Refused ones occupy none. Nothing follows the last request of a connection.
         """
-        if not self._buffer.size:
+        if not self._buffer.size or not self._parser.keep_alive:
             return False
         return self.is_refusing or (not self.queue and self.estimate.is_caught_up)
 
--- a/tests/network/client/test_message_boundaries.py
+++ b/tests/network/client/test_message_boundaries.py
@@ -95,6 +95,35 @@
     assert parsed.rejection.status == 405
 
 
+@pytest.mark.parametrize("piece_bytes", [1, 10_000])
+@pytest.mark.parametrize("offer", [b"", UPGRADE_OFFER])
+@pytest.mark.parametrize("is_refusing", [False, True])
+def test_nothing_follows_request_that_closes_connection(
+    offer: bytes, piece_bytes: int, *, is_refusing: bool
+) -> None:
+    """Guards against a second response, 400, behind `Connection: close` (RFC 9112, section 9.6)."""
+    data = with_length(b"a1", b"{}", offer + b"Connection: close\r\n") + with_length(b"a2", b"{}")
+    parsed = ParsedInput(data, piece_bytes, is_refusing=is_refusing)
+    assert parsed.rejection is None
+    assert len(parsed.requests) == 1
+
+
+@pytest.mark.parametrize("offer", [b"", UPGRADE_OFFER])
+async def test_one_response_to_request_that_closes_connection(start_proxy: StartProxy, offer: bytes) -> None:
+    """Guards against a response behind the last one, whether or not its request has arrived by then."""
+    harness = await start_proxy(Upstream())
+    client = await harness.connect_client()
+    client.writer.write(
+        with_length(b"a1", b"{}", offer + b"Connection: close\r\n") + with_length(b"a2", b"{}")
+    )
+    client.writer.write(with_length(b"a3", b"{}") * 100)
+    response = await client.read_response()
+    assert status(response) == 200
+    assert response.headers["connection"] == "close"
+    assert await client.reader.read() == b""
+    assert [request.headers["x-request-id"] for request in harness.upstreams[0].received] == ["a1"]
+
+
 async def test_request_that_offers_protocol_is_forwarded_with_its_body(start_proxy: StartProxy) -> None:
     """Guards against request smuggling: the body was forwarded as a request, the request without its body."""
     upstream = Upstream()
