Reject requests whose version has another framing

A request of HTTP/1.0 with Transfer-Encoding was forwarded as if its chunks were certain; RFC 9112, section 6.1, has a server treat that framing as faulty, since a recipient of that version knows no chunks. HTTP/0.9 and HTTP/2.0 start lines, which httptools accepts, were served too. The first gets 400, the others 505, refused requests as well.

--- a/loadbalancer/network/client/requests/http_parser.py
+++ b/loadbalancer/network/client/requests/http_parser.py
@@ -80,6 +80,10 @@
         """Return the method of the request whose head is complete."""
         return self._require_parser().get_method()
 
+    def version(self) -> str:
+        """Return the version of HTTP of the request, such as `1.1`."""
+        return self._require_parser().get_http_version()
+
     def should_keep_alive(self) -> bool:
         """Return whether the connection may stay open after the current request."""
         return self._require_parser().should_keep_alive()
--- a/loadbalancer/network/client/requests/request_parser.py
+++ b/loadbalancer/network/client/requests/request_parser.py
@@ -32,6 +32,11 @@
 HEAD_TOO_LARGE = Rejection(431, "headers too large")
 TOO_MANY_FIELDS = Rejection(431, "too many header fields")
 BODY_TOO_LARGE = Rejection(413, "body too large")
+VERSION_NOT_SUPPORTED = Rejection(505, "HTTP/1.1 or HTTP/1.0")
+CHUNKED_BEFORE_1_1 = Rejection(400, "HTTP/1.0 has no Transfer-Encoding")
+
+VERSION_1_0 = "1.0"
+SUPPORTED_VERSIONS = ("1.1", VERSION_1_0)
 
 
 class _PartialHead:
@@ -186,6 +191,7 @@
         partial_head = self._partial_head
         partial_head.check_size()
         fields, partial_head.fields = partial_head.fields, []
+        _check_version(self._parser.version(), fields)
         method = self._parser.method()
         if self._discards_body:
             self._head = read_refused_head(method, fields)
@@ -228,5 +234,13 @@
         self._on_request(IncomingRequest(head, body, received_at, keep_alive=self.keep_alive))
 
 
+def _check_version(version: str, fields: Headers) -> None:
+    """Check that the framing of a request is that of its version (RFC 9112, section 6.1)."""
+    if version not in SUPPORTED_VERSIONS:
+        raise RequestRejectedError(VERSION_NOT_SUPPORTED)
+    if version == VERSION_1_0 and any(name == b"transfer-encoding" for name, _ in fields):
+        raise RequestRejectedError(CHUNKED_BEFORE_1_1)
+
+
 def _ignore_request(_: IncomingRequest | None) -> None:
     """Replace the callback of a parser that is closed, which would be a reference cycle."""
--- a/loadbalancer/network/client/response_writer.py
+++ b/loadbalancer/network/client/response_writer.py
@@ -26,6 +26,7 @@
     500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
+    505: b"HTTP Version Not Supported",
 }
 
 
--- a/tests/network/client/test_message_boundaries.py
+++ b/tests/network/client/test_message_boundaries.py
@@ -108,6 +108,26 @@
     assert len(parsed.requests) == 1
 
 
+@pytest.mark.parametrize("is_refusing", [False, True])
+@pytest.mark.parametrize(
+    ("version", "expected_status"), [(b"1.1", None), (b"1.0", 400), (b"0.9", 505), (b"2.0", 505)]
+)
+def test_chunked_body_needs_version_1_1(
+    version: bytes, expected_status: int | None, *, is_refusing: bool
+) -> None:
+    """Guards against request smuggling through a recipient that knows no chunks (RFC 9112, section 6.1)."""
+    data = chunked(b"a1", b"{}", b"Connection: keep-alive\r\n").replace(b"HTTP/1.1", b"HTTP/" + version, 1)
+    parsed = ParsedInput(data, 10_000, is_refusing=is_refusing)
+    assert (parsed.rejection.status if parsed.rejection else None) == expected_status
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 10_000])
+def test_version_1_0_with_length_is_served(piece_bytes: int) -> None:
+    data = with_length(b"a1", b"{}", b"Connection: keep-alive\r\n").replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+    parsed = ParsedInput(data + with_length(b"a2", b"[]"), piece_bytes)
+    assert parsed.ids_and_bodies() == [(b"a1", b"{}"), (b"a2", b"[]")]
+
+
 @pytest.mark.parametrize("offer", [b"", UPGRADE_OFFER])
 async def test_one_response_to_request_that_closes_connection(start_proxy: StartProxy, offer: bytes) -> None:
     """Guards against a response behind the last one, whether or not its request has arrived by then."""
