Agree with the parser of responses on where each one ends

ResponseParser and httptools disagreed on: a status below 100, which was dropped as if it were an interim response, so that bytes behind it became the response; interim responses that state a body, whose body was read as the final response; a coding that ends with a tab, which httptools takes for an unknown one, so that the response never ended. All three are invalid responses now. After 204 and 304 with a stated length, and after chunks from an upstream of HTTP/1.0, the upstream may place the end elsewhere: the response counts, the connection is not reused.

--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -17,14 +17,17 @@
 _MAX_LENGTH_DIGITS = 19
 """Maximum number of digits of a Content-Length, checked before it is converted to an integer."""
 
+_FIRST_STATUS = 100
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = (204, 304)
+_VERSION_WITHOUT_CODINGS = "1.0"
 
 _HEADERS_TOO_LARGE = "headers too large"
 _INTERIM_RESPONSES_TOO_LARGE = "headers and interim responses too large"
 _BODY_TOO_LARGE = "body too large"
 _MORE_THAN_ONE_RESPONSE = "more than one final response"
+_INVALID_STATUS = "the status is below 100"
 _PROTOCOL_SWITCH = "protocol switch (status 101), which was not requested"
 _AMBIGUOUS_LENGTH = "conflicting or unsupported Content-Length or Transfer-Encoding"
 _INVALID_LENGTH = "Content-Length is invalid or exceeds the size limit"
@@ -61,7 +64,8 @@
         self._response: Response | None = None
         self._bytes_since_response = 0
         self._may_reuse = False
-        self._ends_with_connection = False
+        self._ends_with_connection = False  # whether the end of the connection ends the response
+        self._has_certain_end = True  # whether the upstream can't take the end to be elsewhere
         self.on_message_begin()
 
     @property
@@ -119,29 +123,48 @@
         self._body_bytes = 0
         self._header_bytes = 0
         self._ends_with_connection = False
+        self._has_certain_end = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, up to the size limit."""
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADER_FIELDS:
             raise InvalidResponseError(_HEADERS_TOO_LARGE)
-        self._headers.append((name.lower(), value.strip(FIELD_WHITE_SPACE)))
+        name = name.lower()
+        # httptools strips spaces only: it would read a coding that ends with a tab as another coding.
+        if name == b"transfer-encoding" and value.rstrip(b" ").lower() != b"chunked":
+            raise InvalidResponseError(_AMBIGUOUS_LENGTH)
+        self._headers.append((name, value.strip(FIELD_WHITE_SPACE)))
 
     def on_headers_complete(self) -> None:
         """Reject a response with an invalid head before its body is read."""
         status = self._parser.get_status_code()
+        if status < _FIRST_STATUS:
+            raise InvalidResponseError(_INVALID_STATUS)
         if status == _SWITCHING_PROTOCOLS:
             raise InvalidResponseError(_PROTOCOL_SWITCH)
         lengths = [value for name, value in self._headers if name == b"content-length"]
-        codings = [value.lower() for name, value in self._headers if name == b"transfer-encoding"]
-        if (lengths and codings) or len(lengths) > 1 or codings not in ([], [b"chunked"]):
+        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        if len(lengths) + len(codings) > 1:
             raise InvalidResponseError(_AMBIGUOUS_LENGTH)
         if lengths and not self._is_valid_length(lengths[0]):
             raise InvalidResponseError(_INVALID_LENGTH)
-        has_body = status >= _FIRST_FINAL_STATUS and status not in _STATUSES_WITHOUT_BODY
-        self._ends_with_connection = has_body and not lengths and not codings
+        states_body = bool(codings) or (bool(lengths) and int(lengths[0]) > 0)
+        if status < _FIRST_FINAL_STATUS:
+            if states_body:
+                raise InvalidResponseError(_AMBIGUOUS_LENGTH)
+        elif status in _STATUSES_WITHOUT_BODY:
+            self._has_certain_end = not states_body
+        else:
+            self._check_body_framing(has_length=bool(lengths), is_chunked=bool(codings))
+
+    def _check_body_framing(self, *, has_length: bool, is_chunked: bool) -> None:
+        """Determine what ends the body, and whether that is certain (RFC 9112, section 6.1)."""
+        self._ends_with_connection = not has_length and not is_chunked
         if self._ends_with_connection and self._requires_length:
             raise InvalidResponseError(_NO_LENGTH)
+        if is_chunked:
+            self._has_certain_end = self._parser.get_http_version() != _VERSION_WITHOUT_CODINGS
 
     def _is_valid_length(self, length: bytes) -> bool:
         if not length.isdigit() or len(length) > _MAX_LENGTH_DIGITS:
@@ -158,7 +181,7 @@
     def on_message_complete(self) -> None:
         """Store a final response; ignore an interim one (status 1xx)."""
         # Read here and not later: the parser resets its flags once the message is complete.
-        self._may_reuse = self._parser.should_keep_alive()
+        self._may_reuse = self._has_certain_end and self._parser.should_keep_alive()
         status = self._parser.get_status_code()
         if status >= _FIRST_FINAL_STATUS:
             self._response = Response(status, self._headers, bytes(self._body))
