Close the connection to discovery on bytes that no request asked for

A response of which a part had come by then would have been taken for the response to the next request, and each one after it for the one before. (Connections to upstreams do this.)

--- a/loadbalancer/network/discovery/connection.py
+++ b/loadbalancer/network/discovery/connection.py
@@ -79,7 +79,10 @@
         self._transport = cast("asyncio.Transport", transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse the next bytes of the response."""
+        """Parse the next bytes of the response; bytes that no request asked for end the connection."""
+        if self._response is None or self._response.done():
+            self.close()
+            return
         try:
             response = self._parser.feed(data)
         except ProtocolError as error:
@@ -90,8 +93,7 @@
             self._start_body_timeout()
             return
         self.is_closed = self.is_closed or not self._parser.may_reuse
-        if self._response is not None and not self._response.done():
-            self._response.set_result(response)
+        self._response.set_result(response)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress, if there is one."""
@@ -111,7 +113,7 @@
             OSError: The connection broke.
             TimeoutError: The response was not complete in time.
         """
-        if self._transport is None:
+        if self._transport is None or self.is_closed:
             raise DiscoveryDisconnectedError
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(request)
