Testbed: agree with the parser on where messages end

The client took an interim response for the final one, and a second response for that of the next request; the servers' parser let an offer of another protocol escape as an exception of httptools. A second response ends the connection now, interim ones are skipped, and an offer is malformed (balancers send none).

--- a/testbed/http/client.py
+++ b/testbed/http/client.py
@@ -23,6 +23,8 @@
 NO_RESPONSE = 0
 """The status of a request without a response: it timed out, or the connection was lost."""
 
+_FIRST_FINAL_STATUS = 200
+
 
 class ConnectionLostError(TestbedError, ConnectionResetError):
     """A connection ended before the response to its request was complete."""
@@ -97,14 +99,22 @@
     def on_body(self, data: bytes) -> None:
         self._body.append(data)
 
+    def on_message_begin(self) -> None:
+        self._body = []
+        if not self._has_open_request():
+            self.close()  # a second response, which would be taken for that of the next request
+
     def on_message_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS or self._response_future is None or self.is_closed:
+            return
         self.may_reuse = self._parser.should_keep_alive()
-        response = HttpResponse(self._parser.get_status_code(), b"".join(self._body), self._clock())
-        self._body = []
-        if self._response_future is not None and not self._response_future.done():
-            self._response_future.set_result(response)
+        self._response_future.set_result(HttpResponse(status, b"".join(self._body), self._clock()))
 
     def data_received(self, data: bytes) -> None:
+        if not self._has_open_request():
+            self.close()
+            return
         self.has_received_data = True
         try:
             self._parser.feed_data(data)
@@ -125,6 +135,9 @@
         self._transport.write(request)
         return await self._response_future
 
+    def _has_open_request(self) -> bool:
+        return self._response_future is not None and not self._response_future.done()
+
     def close(self) -> None:
         self.is_closed = True
         if self._transport is not None:
--- a/testbed/http/request_parser.py
+++ b/testbed/http/request_parser.py
@@ -44,11 +44,12 @@
         """Parse more received bytes.
 
         Raises:
-            MalformedRequestError: The bytes are not HTTP; the connection has to be closed.
+            MalformedRequestError: The bytes are not HTTP, or offer another protocol, which no balancer does;
+                the connection has to be closed.
         """
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             raise MalformedRequestError(str(error)) from error
 
     def _reset(self) -> None:
