--- a/tests/network/client/test_message_boundaries.py
+++ b/tests/network/client/test_message_boundaries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 import pytest
@@ -144,6 +145,24 @@
     assert [request.headers["x-request-id"] for request in harness.upstreams[0].received] == ["a1"]
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_random_requests_are_parsed_as_they_were_sent(seed: int) -> None:
+    """Any sequence of forms, cut up at any place, yields the requests that were sent and no other."""
+    rng = random.Random(seed)
+    sent = []
+    data = b""
+    for number in range(40):
+        body = rng.choice([b"", b"{}", b"0\r\n\r\n", QUOTED_REQUEST, rng.randbytes(rng.randrange(3_000))])
+        fields = rng.choice([b"", UPGRADE_OFFER, b"Upgrade: h2c\r\n", b"Connection: keep-alive\r\n"])
+        request_id = b"r%d" % number
+        sent.append((request_id, body))
+        encode = rng.choice([with_length, chunked])
+        data += encode(request_id, body, fields) + rng.choice([b"", b"", b"\r\n"])
+    parsed = ParsedInput(data, rng.choice([1, 3, 50, 512, 100_000]))
+    assert parsed.rejection is None
+    assert parsed.ids_and_bodies() == sent
+
+
 async def test_request_that_offers_protocol_is_forwarded_with_its_body(start_proxy: StartProxy) -> None:
     """Guards against request smuggling: the body was forwarded as a request, the request without its body."""
     upstream = Upstream()
