Count the shares of a turn by iterations of the loop, not by its clock

TurnScheduler took each new time of the loop's clock for a new turn. uvloop reads that clock anew at each call, so the shares began again with each millisecond: 80 shares of 1 ms ran in one iteration. And iterations within the same millisecond were counted as one turn.

The callback of call_soon that ends a turn is scheduled when its shares are used up, or when a worker waits; the loop runs it at most once in an iteration. No clock is read any more. No other place compares two readings of a clock to tell iterations apart (searched: time(), monotonic()).

--- a/loadbalancer/network/turn_scheduler.py
+++ b/loadbalancer/network/turn_scheduler.py
@@ -1,7 +1,7 @@
 """Shares each turn of the event loop between the connections that have work to do.
 
-A turn is one iteration of the event loop. A connection whose peer sends much at once would otherwise delay
-all others until its input has been worked off.
+A turn is one iteration of the event loop: it begins where the loop runs the callbacks of `call_soon`. A
+connection whose peer sends much at once would otherwise delay all others until its input has been worked off.
 """
 
 from __future__ import annotations
@@ -42,7 +42,6 @@
         self._backlogged: deque[Worker] = deque()
         self._queued: set[Worker] = set()
         self._remaining_shares = SHARES_PER_TURN
-        self._turn_started_at = 0.0  # on the clock of the loop, which reads it once in each iteration
         self._is_turn_scheduled = False
         self._running: Worker | None = None
 
@@ -53,10 +52,6 @@
         """
         if worker is self._running or worker in self._queued:
             return
-        now = self._loop.time()
-        if now != self._turn_started_at:
-            self._turn_started_at = now
-            self._remaining_shares = SHARES_PER_TURN
         if self._running is None and self._remaining_shares > 0 and not self._waiting:
             self._run(worker)
         else:
@@ -64,6 +59,8 @@
 
     def _run(self, worker: Worker) -> None:
         self._remaining_shares -= 1
+        if self._remaining_shares <= 0:
+            self._schedule_turn()
         self._running = worker
         try:
             has_more = worker.run_share()
@@ -78,6 +75,7 @@
         self._schedule_turn()
 
     def _run_turn(self) -> None:
+        """Begin a turn: the loop runs this at most once in each of its iterations."""
         self._is_turn_scheduled = False
         self._remaining_shares = SHARES_PER_TURN
         # The lengths are taken now, so that a worker gets at most one share in a turn.
--- a/tests/network/test_turn_scheduler.py
+++ b/tests/network/test_turn_scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from loadbalancer.network.turn_scheduler import SHARES_PER_TURN, TurnScheduler
 from tests.support.waiting import wait_until
@@ -61,3 +62,30 @@
     turns.request_share(CountingWorker("last", 1, record))
     await wait_until(lambda: "last" in record, "the last worker has run", poll_interval_s=0)
     assert len(errors) == 1
+
+
+class SlowWorker(CountingWorker):
+    """A worker whose share takes longer than the resolution of the loop's clock."""
+
+    def run_share(self) -> bool:
+        ends_at = time.monotonic() + 0.002
+        while time.monotonic() < ends_at:
+            pass
+        return super().run_share()
+
+
+async def test_turn_does_not_end_when_the_clock_moves() -> None:
+    """Guards against each reading of a clock that moves within an iteration being taken for a new turn."""
+    turns, record = TurnScheduler(asyncio.get_running_loop()), list[str]()
+    for number in range(3 * SHARES_PER_TURN):
+        turns.request_share(SlowWorker(f"w{number}", 1, record))
+    assert len(record) == SHARES_PER_TURN
+
+
+async def test_shares_of_separate_turns_are_not_added_up() -> None:
+    """A worker that asks once in each iteration gets its share at once, also after many iterations."""
+    turns, record = TurnScheduler(asyncio.get_running_loop()), list[str]()
+    for number in range(5 * SHARES_PER_TURN):
+        turns.request_share(CountingWorker(f"w{number}", 1, record))
+        assert len(record) == number + 1
+        await asyncio.sleep(0)
