See again what is left at the end of a share

The end of a share asked only for requests to begin and input to parse; a rejection that the share itself had decided was never written, since `reject` asks for a share while one is running. So for spoilt bytes behind 3, 7, ... requests that are answered at once, and for a head that is refused for memory within its own share.

The same question left input unparsed for good if reading had been paused at the memory limit behind an unread response, and the kernel held nothing more: what had been read was caught up only by a read that never came.

WaitingInput answers in one place what can be done next: parse, begin, or write the rejection; the kernel is asked where reading was paused. What it does not name waits for a response, for an empty write buffer, or for input.

--- a/loadbalancer/network/client/input_limits.py
+++ b/loadbalancer/network/client/input_limits.py
@@ -78,7 +78,7 @@
         if not reader.is_refusing and not reader.unparsed_bytes and not reader.queue:
             return
         if reader.is_refusing:
-            if reader.estimate.is_caught_up and not reader.unparsed_bytes and not self._is_limit_reached():
+            if not reader.unparsed_bytes and not self._is_limit_reached() and self.is_input_read():
                 reader.stop_refusing()
         elif self._is_limit_reached() and not self._transport.has_unsent_bytes():
             reader.start_refusing()
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -8,6 +8,7 @@
 from loadbalancer.network.client.requests.incoming_request import RefusedRequests
 from loadbalancer.network.client.requests.rejection import Rejection
 from loadbalancer.network.client.response_writer import ResponseWriter
+from loadbalancer.network.client.waiting_input import WaitingInput
 
 if TYPE_CHECKING:
     from loadbalancer.network.client.context import ConnectionContext
@@ -33,8 +34,8 @@
         "_context",
         "_current_request",
         "_limits",
-        "_rejection",
         "_transport",
+        "_waiting",
         "_writer",
         "reader",
     )
@@ -43,8 +44,8 @@
         self._context = context
         self._transport = transport
         self._current_request: IncomingRequest | None = None
-        self._rejection: Rejection | None = None  # written after the responses to earlier requests
         self._limits = InputLimits(context.budget, reader, transport)
+        self._waiting = WaitingInput(self._limits, reader, transport)
         self.reader = reader
         self._writer = ResponseWriter(context, transport, reader.arrival.started_at)
 
@@ -53,6 +54,11 @@
         """When the last response was written, or when the client connected if there has been none."""
         return self._writer.idle_since
 
+    @property
+    def rejection_pending_since(self) -> float:
+        """When the rejection that waits was decided (seconds, monotonic clock); infinite without one."""
+        return self._waiting.rejection_pending_since
+
     def has_open_request(self) -> bool:
         """Return whether a request is being handled or is queued."""
         return self._current_request is not None or bool(self.reader.queue)
@@ -93,16 +99,7 @@
         if self._context.budget.is_high:
             self._context.release_input()
         self._limits.pause_or_resume_reading()
-        return self._can_begin() or self._can_parse()
-
-    def _can_parse(self) -> bool:
-        return self.reader.can_parse() and (self._current_request is None or self.reader.is_refusing)
-
-    def _can_begin(self) -> bool:
-        """Return whether the first queued request may begin, as far as is known without a system call."""
-        if not self.has_only_queued_requests() or self._transport.has_unsent_bytes():
-            return False
-        return self.reader.estimate.is_caught_up or _is_answered_here(self.reader.queue[0])
+        return self._waiting.has_work(is_handling_request=self._current_request is not None)
 
     def _begin_next(self) -> bool:
         """Begin the first request of the queue; return false if none may begin now."""
@@ -110,16 +107,13 @@
         if self._current_request is not None or self._transport.has_unsent_bytes():
             return False
         if not self.reader.queue:
-            if self._rejection is not None:
-                self._writer.write_rejection(self._rejection, is_final=True)
-                self._rejection = None
+            self._write_rejection()
             return False
         first = self.reader.queue[0]
         if isinstance(first, RefusedRequests):
             self._refuse(first)
             return True
-        # The end of the connection may follow input that is still unread: the client may have gone.
-        if not _is_answered_here(first) and not self._limits.is_input_read():
+        if not self._waiting.may_begin(first):
             return False
         self.reader.take_request(first)
         first.set_responder(self)
@@ -129,13 +123,19 @@
 
     def _parse_next(self) -> bool:
         """Parse a slice of the input; return false if there is none to parse now."""
-        if self._transport.discards_input or not self._can_parse():
+        if not self._waiting.can_parse(is_handling_request=self._current_request is not None):
             return False
         rejection = self.reader.parse_slice()
         if rejection is not None:
             self.reject(rejection)
         return True
 
+    def _write_rejection(self) -> None:
+        """Write the rejection, if one waits; it ends the connection."""
+        rejection = self._waiting.take_rejection()
+        if rejection is not None:
+            self._writer.write_rejection(rejection, is_final=True)
+
     def _handle_request(self, request: IncomingRequest) -> None:
         if request.head.is_health_check():
             _respond_to_health_check(request, is_shutting_down=self._context.is_shutting_down)
@@ -152,16 +152,12 @@
             return
         self._current_request = None
         self._writer.write(status, headers, body, is_final=self._is_final(keep_alive=request.keep_alive))
-        has_more = self.reader.queue or self.reader.unparsed_bytes or self._rejection is not None
-        if has_more or self._transport.has_unsent_bytes():
+        if not self._waiting.is_empty() or self._transport.has_unsent_bytes():
             self._context.turns.request_share(self)
 
     def reject(self, rejection: Rejection) -> None:
         """Discard further input; write the rejection after the responses to all earlier requests."""
-        self._transport.discards_input = True
-        self._rejection = rejection
-        self.reader.discard_input()
-        self._limits.account()
+        self._waiting.reject(rejection)
         self._context.turns.request_share(self)
 
     def give_up_partial_request(self) -> None:
@@ -188,7 +184,7 @@
 
     def _is_final(self, *, keep_alive: bool) -> bool:
         """Return whether the response that is about to be written ends the connection."""
-        if self.reader.queue or self._rejection is not None:
+        if self.reader.queue or self._waiting.has_rejection:
             return False
         if not keep_alive:
             return True
@@ -203,11 +199,6 @@
         self._writer.write_rejection(NO_MEMORY, is_final=self._is_final(keep_alive=keep_alive))
 
 
-def _is_answered_here(request: IncomingRequest | RefusedRequests) -> bool:
-    """Return whether a request reaches no upstream."""
-    return isinstance(request, RefusedRequests) or request.head.is_health_check()
-
-
 def _respond_to_health_check(request: IncomingRequest, *, is_shutting_down: bool) -> None:
     """Respond to a health check; it fails during the shutdown, so that clients use another balancer."""
     status, body = (503, b"ending\n") if is_shutting_down else (200, b"ok\n")
--- a/loadbalancer/network/client/requests/request_reader.py
+++ b/loadbalancer/network/client/requests/request_reader.py
@@ -27,7 +27,7 @@
 class RequestReader:
     """Buffers the bytes of one connection and parses them into requests, a slice at a time.
 
-    The pipeline passes bytes to `receive`, calls `parse_slice` while `can_parse` returns true, and removes
+    The pipeline passes bytes to `receive`, calls `parse_slice` while `has_parsable_input`, and removes
     complete requests from the queue. After a rejection it calls `discard_input` and parses no further.
 
     Attributes:
@@ -104,7 +104,7 @@
         """Whether the head of a request has begun to arrive and is not complete."""
         return self.arrival.is_arriving and not self._parser.has_complete_head
 
-    def can_parse(self) -> bool:
+    def has_parsable_input(self) -> bool:
         """Return whether there is unparsed input, and no parsed request that waits to be handled.
 
         A parsed request occupies far more memory than its bytes, so it is parsed only once it may begin.
@@ -112,7 +112,7 @@
         """
         if not self._buffer.size or not self._parser.keep_alive:
             return False
-        return self.is_refusing or (not self.queue and self.estimate.is_caught_up)
+        return self.is_refusing or not self.queue
 
     def receive(self, data: bytes | memoryview, unread_bytes: int | None) -> None:
         """Buffer bytes of the connection; nothing is parsed yet.
--- /dev/null
+++ b/tests/network/client/test_connection_states.py
@@ -0,0 +1,158 @@
+"""What is left over at the end of a share is seen again."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from functools import partial
+from typing import TYPE_CHECKING
+
+import pytest
+
+from loadbalancer.network.client.pipeline import STEPS_PER_SHARE
+from loadbalancer.network.client.requests.request_reader import HEAD_SLICE_BYTES, RequestReader
+from tests.support.disconnecting_clients import request_bytes
+from tests.support.http_messages import response, status
+from tests.support.scripted_upstream import Upstream
+from tests.support.waiting import wait_until
+
+if TYPE_CHECKING:
+    from collections import Counter
+
+    from tests.support.fixture_types import StartProxy
+    from tests.support.proxy_harness import ProxyHarness
+
+LARGE_RESPONSE = response(200, b"x" * 60_000)
+SHARE_BYTES = STEPS_PER_SHARE * HEAD_SLICE_BYTES
+# More requests than the kernel's buffers can hold responses for.
+MAX_REQUESTS = 1_000
+REQUEST_IDS = itertools.count(10_000)
+
+
+def improper_request(size_bytes: int) -> bytes:
+    """Return a request for a path that names no class, with a head of this size."""
+    start, end = b"GET /favicon.ico HTTP/1.1\r\nCookie: ", b"\r\n\r\n"
+    return start + b"c" * (size_bytes - len(start) - len(end)) + end
+
+
+def long_request(number: int, field_bytes: int) -> bytes:
+    """Return a proper request whose head has a field of this size."""
+    return request_bytes("/read", number).replace(b"X-Class", b"X-Long: %b\r\nX-Class" % (b"y" * field_bytes))
+
+
+def has_count(responses: Counter[int], count: int) -> bool:
+    """Return whether this number of requests has been answered 200."""
+    return responses[200] == count
+
+
+def count_unread_responses(harness: ProxyHarness) -> int:
+    """Return on how many connections a response is in the write buffer."""
+    transports = [connection.transport for connection in harness.proxy.listener.connections]
+    return sum(transport is not None and transport.get_write_buffer_size() > 0 for transport in transports)
+
+
+def use_up_budget_on_receipt(harness: ProxyHarness, monkeypatch: pytest.MonkeyPatch, min_bytes: int) -> None:
+    """Let other peers use up the memory budget when so many bytes of a client have been read at once."""
+    receive = RequestReader.receive
+
+    def receive_and_use_up(reader: RequestReader, data: bytes | memoryview, unread_bytes: int | None) -> None:
+        receive(reader, data, unread_bytes)
+        if len(data) >= min_bytes:
+            harness.proxy.budget.limit_bytes = harness.proxy.budget.used_bytes
+
+    monkeypatch.setattr(RequestReader, "receive", receive_and_use_up)
+
+
+class UnreadClient:
+    """A client that reads none of its responses until it is told to."""
+
+    def __init__(self, harness: ProxyHarness) -> None:
+        self._harness = harness
+        self.socket = harness.connect_socket()
+        self.socket.setblocking(False)  # noqa: FBT003  the only parameter of the method
+        self.request_count = 0
+
+    async def send(self, data: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self.socket, data)
+
+    async def leave_response_unread(self) -> None:
+        """Send one request after the other, until a response stays in the proxy's write buffer."""
+        proxy = self._harness.proxy
+        responses = proxy.listener.context.counters.responses
+        answered_count, unread_count = responses[200], count_unread_responses(self._harness)
+        for number in range(MAX_REQUESTS):
+            await self.send(request_bytes("/read", next(REQUEST_IDS)))
+            self.request_count += 1
+            await wait_until(
+                partial(has_count, responses, answered_count + number + 1), "a response is written"
+            )
+            if count_unread_responses(self._harness) > unread_count:
+                return
+        pytest.fail("no response stays in the write buffer")
+
+    async def read_responses(self, count: int) -> list[int]:
+        """Read responses, and return their statuses."""
+        reader, writer = await asyncio.open_connection(sock=self.socket)
+        statuses = []
+        try:
+            for _ in range(count):
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+                await reader.readexactly(length)
+                statuses.append(int(head.split(b" ")[1]))
+        finally:
+            writer.transport.abort()
+        return statuses
+
+
+async def test_rejection_is_written_whatever_the_size_of_the_head(start_proxy: StartProxy) -> None:
+    """Guards against a rejection that is left at the end of a share: it was never written (review case 7)."""
+    harness = await start_proxy(Upstream())
+    sizes = {*range(400, 2 * SHARE_BYTES + 200, 150)}
+    for slice_number in range(1, 2 * STEPS_PER_SHARE + 1):
+        boundary = slice_number * HEAD_SLICE_BYTES
+        sizes |= {boundary - 1, boundary, boundary + 1}
+    for size_bytes in sorted(sizes):
+        client = await harness.connect_client()
+        client.writer.write(improper_request(size_bytes))
+        assert status(await client.read_response()) == 404, size_bytes
+        assert await client.reader.read() == b""
+        client.writer.close()
+
+
+@pytest.mark.parametrize("whole_count", range(10))
+async def test_rejection_is_written_behind_responses(start_proxy: StartProxy, whole_count: int) -> None:
+    """Spoilt bytes behind requests that are answered at once, a number that ends a share among them."""
+    harness = await start_proxy(Upstream())
+    client = await harness.connect_client()
+    client.writer.write(b"GET /healthz HTTP/1.1\r\n\r\n" * whole_count + b"spoilt\r\n\r\n")
+    statuses = [status(await client.read_response()) for _ in range(whole_count + 1)]
+    assert statuses == [200] * whole_count + [400]
+    assert await client.reader.read() == b""
+
+
+async def test_incomplete_head_refused_within_its_share_is_rejected(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a rejection that the share of the same connection decides at its end."""
+    harness = await start_proxy(Upstream())
+    client = await harness.connect_client()
+    use_up_budget_on_receipt(harness, monkeypatch, min_bytes=HEAD_SLICE_BYTES)
+    client.writer.write(improper_request(5 * HEAD_SLICE_BYTES)[: 3 * HEAD_SLICE_BYTES])
+    assert status(await client.read_response()) == 503
+    assert await client.reader.read() == b""
+
+
+async def test_request_is_parsed_once_responses_before_it_are_read(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against input that nothing wakes: reading was paused at the memory limit, and none is left."""
+    harness = await start_proxy(Upstream(LARGE_RESPONSE))
+    budget, limit_bytes = harness.proxy.budget, harness.proxy.budget.limit_bytes
+    client = UnreadClient(harness)
+    await client.leave_response_unread()
+    use_up_budget_on_receipt(harness, monkeypatch, min_bytes=SHARE_BYTES)
+    await client.send(long_request(9_000, 2 * SHARE_BYTES))
+    await wait_until(lambda: budget.limit_bytes < limit_bytes, "the request is read")
+    budget.limit_bytes = limit_bytes
+    assert await client.read_responses(client.request_count + 1) == [200] * (client.request_count + 1)
--- a/tests/network/test_readiness.py
+++ b/tests/network/test_readiness.py
@@ -150,6 +150,7 @@
             "network.client.requests.request_arrival network.client.requests.request_head "
             "network.client.requests.request_parser network.client.requests.request_reader "
             "network.client.response_writer network.client.timeouts network.client.transport "
+            "network.client.waiting_input "
             "network.clock network.counters network.deadline_watchdog network.discovery "
             "network.discovery.connection network.discovery.retry_schedule network.discovery.watch "
             "network.endpoint_list_updater network.errors network.event_dispatcher network.headers "
