Let an empty line begin no request

A lone empty line on an idle connection was taken for the begin of a request: 1.8 s later the connection got 408, which a request that crossed it would have taken for its response. The timeout of a request runs from its first line now. Four new tests of test_connection_timeouts.py failed before.

--- a/loadbalancer/network/client/requests/request_parser.py
+++ b/loadbalancer/network/client/requests/request_parser.py
@@ -69,6 +69,7 @@
     Attributes:
         completed_count: The number of complete requests so far.
         keep_alive: Whether the connection may stay open after the last complete request.
+        is_in_request: Whether a request has begun and is not complete; empty lines before it don't begin one.
         is_refusing: Whether the bodies of requests that begin from now on are discarded.
     """
 
@@ -83,6 +84,7 @@
         "_parser",
         "_partial_head",
         "completed_count",
+        "is_in_request",
         "is_refusing",
         "keep_alive",
     )
@@ -111,6 +113,7 @@
         self._discards_body = False
         self.completed_count = 0
         self.keep_alive = True
+        self.is_in_request = False
         self.is_refusing = False
 
     @property
@@ -165,6 +168,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
+        self.is_in_request = True
         if not self._arrival.is_arriving:
             self._arrival.record_first_byte(self._arrival.input_arrived_at)
         self._partial_head.reset()
@@ -223,6 +227,7 @@
         if head is None:
             raise RequestRejectedError(MALFORMED_REQUEST)
         self._head = None
+        self.is_in_request = False
         self._partial_head.fields = []  # drops trailers
         self.completed_count += 1
         self.keep_alive = self._parser.should_keep_alive()
--- a/loadbalancer/network/client/requests/request_reader.py
+++ b/loadbalancer/network/client/requests/request_reader.py
@@ -146,6 +146,10 @@
         elif self._partial_bytes - self._parser.partial_body_bytes > MAX_HEAD_BYTES:
             # Without this limit, the parser would buffer a head, chunk extensions or trailers of any length.
             return HEAD_TOO_LARGE
+        if not self._parser.is_in_request and not self._buffer.size:
+            # Empty lines between requests don't begin one, so that no time-out of a request runs.
+            self.arrival.is_arriving = False
+            self._partial_bytes = 0
         return None
 
     def take_request(self, request: IncomingRequest) -> None:
--- a/tests/network/client/test_connection_timeouts.py
+++ b/tests/network/client/test_connection_timeouts.py
@@ -50,6 +50,39 @@
     client.writer.close()
 
 
+@pytest.mark.parametrize("empty_lines", [b"\r\n", b"\r\n\r\n", b"\n"])
+async def test_empty_line_does_not_begin_a_request(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch, empty_lines: bytes
+) -> None:
+    """Guards against the 408 of a request that has not begun, which would answer the next one."""
+    monkeypatch.setattr(timeouts, "REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(timeouts, "KEEP_ALIVE_TIMEOUT_S", 0.5)
+    harness = await start_proxy(Upstream())
+    client = await harness.connect_client()
+    client.send()
+    assert status(await client.read_response()) == 200
+    client.writer.write(empty_lines)
+    assert await client.reader.read() == b""
+    assert harness.proxy.listener.context.counters.closes[CloseReason.REQUEST_TIMEOUT] == 0
+    assert harness.proxy.listener.context.counters.responses[408] == 0
+
+
+async def test_request_behind_empty_line_is_served(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(timeouts, "REQUEST_TIMEOUT_S", 0.1)
+    harness = await start_proxy(Upstream())
+    client = await harness.connect_client()
+    client.send()
+    assert status(await client.read_response()) == 200
+    client.writer.write(b"\r\n")
+    for _ in range(3):
+        await asyncio.sleep(0.1)
+        harness.proxy.listener.eviction.sweep()
+    client.send()
+    assert status(await client.read_response()) == 200
+
+
 async def test_time_in_accept_queue_is_measured(
     start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
