Give every state of a connection an end

A connection whose input is discarded was exempt from all timeouts. Clients that read nothing kept theirs for 10 s while others waited to be accepted.

A rejection waits 1 s for unread responses, then the connection is aborted, which is within the 3 s that improper clients are owed. Whether a client reads is measured by what leaves the write buffer, in every state, also after it has closed its sending side. While new connections wait, clients that have read nothing for 0.25 s go first.

--- a/loadbalancer/network/client/connection.py
+++ b/loadbalancer/network/client/connection.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from loadbalancer.network.client.context import ConnectionContext
+    from loadbalancer.network.client.timeouts import ConnectionTimeouts
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -162,9 +163,13 @@
 
     # ---- closing --------------------------------------------------------------------------------
 
-    def close_if_timed_out(self, now: float, request_timeout_s: float, idle_timeout_s: float) -> bool:
+    def is_stalled(self, now: float, unread_s: float) -> bool:
+        """Return whether the client has read nothing of a response for `unread_s` seconds."""
+        return self.expiry.is_stalled(now, unread_s)
+
+    def close_if_timed_out(self, now: float, limits: ConnectionTimeouts) -> bool:
         """Close the connection if it has exceeded a timeout; see `ConnectionExpiry.close_if_timed_out`."""
-        return self.expiry.close_if_timed_out(now, request_timeout_s, idle_timeout_s)
+        return self.expiry.close_if_timed_out(now, limits)
 
     def close_gracefully(self) -> None:
         """Close the sending side at the shutdown, then discard input for a short time."""
--- a/loadbalancer/network/client/eviction.py
+++ b/loadbalancer/network/client/eviction.py
@@ -4,6 +4,8 @@
 
 import math
 import time
+from enum import IntEnum
+from functools import partial
 from typing import TYPE_CHECKING
 
 from loadbalancer.network.client import timeouts
@@ -49,32 +51,30 @@
         accept queue.
         """
         self._loop.call_later(timeouts.SWEEP_INTERVAL_S, self.sweep)
-        now = time.monotonic()
+        now, limits = time.monotonic(), timeouts.usual_timeouts()
         for connection in list(self._connections):
-            connection.close_if_timed_out(now, timeouts.REQUEST_TIMEOUT_S, timeouts.KEEP_ALIVE_TIMEOUT_S)
+            connection.close_if_timed_out(now, limits)
 
     def evict(self) -> None:
         """Close connections to free capacity for new ones, with shorter timeouts than `sweep`.
 
-        All connections whose request did not arrive in time are closed, then the longest idle ones, so that
-        a flood of connections without requests cannot block new clients. A connection with an open request
-        is closed only if its client has stopped reading responses, or has disconnected while reading from
-        the connection was paused. A call within `MIN_EVICTION_INTERVAL_S` of the last eviction has no
-        effect.
+        All connections whose client has stopped reading responses are closed, and all whose request did not
+        arrive in time, then the longest idle ones, so that a flood of connections without requests cannot
+        block new clients. A connection with an open request is closed only if its client has stopped reading
+        responses, or has disconnected while reading from the connection was paused. A call within
+        `MIN_EVICTION_INTERVAL_S` of the last eviction has no effect.
         """
         now = time.monotonic()
         if now - self._last_eviction_at < timeouts.MIN_EVICTION_INTERVAL_S:
             return
         self._last_eviction_at = now
+        limits = timeouts.timeouts_under_pressure()
         remaining_evictions = max(len(self._connections) // EVICTION_DIVISOR, 1)
-        for connection in sorted(self._connections, key=_eviction_sort_key):
-            if not connection.is_awaiting_request() and remaining_evictions <= 0:
+        for connection in sorted(self._connections, key=partial(_eviction_sort_key, now)):
+            is_first_to_go = _eviction_rank(connection, now) < EvictionRank.OTHER
+            if not is_first_to_go and remaining_evictions <= 0:
                 break
-            remaining_evictions -= connection.close_if_timed_out(
-                now,
-                timeouts.REQUEST_TIMEOUT_UNDER_PRESSURE_S,
-                timeouts.IDLE_TIMEOUT_UNDER_PRESSURE_S,
-            )
+            remaining_evictions -= connection.close_if_timed_out(now, limits)
 
     def release_input(self, budget: MemoryBudget) -> None:
         """Give up incomplete requests, the largest first, until less of the budget is used.
@@ -95,6 +95,25 @@
             self._next_release_at = now + MIN_RELEASE_INTERVAL_S
 
 
-def _eviction_sort_key(connection: ClientConnection) -> tuple[bool, float]:
-    """Return a sort key: connections without a complete request first, then the longest idle ones."""
-    return not connection.is_awaiting_request(), connection.idle_since
+class EvictionRank(IntEnum):
+    """The order in which connections are evicted."""
+
+    STALLED = 0
+    """The client reads nothing of a response."""
+
+    AWAITING_REQUEST = 1
+    """No request is open, and one is arriving or none has arrived yet."""
+
+    OTHER = 2
+    """Any other connection."""
+
+
+def _eviction_rank(connection: ClientConnection, now: float) -> EvictionRank:
+    if connection.is_stalled(now, timeouts.WRITE_STALL_TIMEOUT_UNDER_PRESSURE_S):
+        return EvictionRank.STALLED
+    return EvictionRank.AWAITING_REQUEST if connection.is_awaiting_request() else EvictionRank.OTHER
+
+
+def _eviction_sort_key(now: float, connection: ClientConnection) -> tuple[EvictionRank, float]:
+    """Return a sort key: by rank, and within a rank the longest idle ones first."""
+    return _eviction_rank(connection, now), connection.idle_since
--- a/loadbalancer/network/client/timeouts.py
+++ b/loadbalancer/network/client/timeouts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 REQUEST_TIMEOUT_S = 1.8
 """How long a complete request may take to arrive.
 
@@ -27,6 +29,16 @@
 WRITE_STALL_TIMEOUT_S = 10.0
 """How long a client may leave a response unread before it is disconnected."""
 
+WRITE_STALL_TIMEOUT_UNDER_PRESSURE_S = 0.25
+"""Replaces `WRITE_STALL_TIMEOUT_S` while new connections wait to be accepted."""
+
+UNREAD_REJECTION_TIMEOUT_S = 1.0
+"""How long a rejection waits until the client has read the responses before it.
+
+Together with `REQUEST_TIMEOUT_S` this is less than the 3 s within which an improper client is owed an error
+or a close.
+"""
+
 LINGER_TIMEOUT_S = 0.5
 """How long input is read and discarded after the balancer has closed its sending side.
 
@@ -41,3 +53,29 @@
 
 MIN_EVICTION_INTERVAL_S = ACCEPT_RETRY_INTERVAL_S / 2
 """Minimum interval between evictions, each of which sorts all connections."""
+
+
+class ConnectionTimeouts(NamedTuple):
+    """The timeouts that one check of a connection applies, in seconds.
+
+    Attributes:
+        request_s: How long a request may take to arrive.
+        idle_s: How long the connection may stay idle.
+        unread_s: How long the client may read nothing of a response.
+    """
+
+    request_s: float
+    idle_s: float
+    unread_s: float
+
+
+def usual_timeouts() -> ConnectionTimeouts:
+    """Return the timeouts while there is room for new connections."""
+    return ConnectionTimeouts(REQUEST_TIMEOUT_S, KEEP_ALIVE_TIMEOUT_S, WRITE_STALL_TIMEOUT_S)
+
+
+def timeouts_under_pressure() -> ConnectionTimeouts:
+    """Return the timeouts while new connections wait to be accepted."""
+    return ConnectionTimeouts(
+        REQUEST_TIMEOUT_UNDER_PRESSURE_S, IDLE_TIMEOUT_UNDER_PRESSURE_S, WRITE_STALL_TIMEOUT_UNDER_PRESSURE_S
+    )
--- a/tests/network/client/test_busy_event_loop.py
+++ b/tests/network/client/test_busy_event_loop.py
@@ -42,10 +42,10 @@
     close_if_timed_out = ClientConnection.close_if_timed_out
 
     def call_then_check(
-        connection: ClientConnection, now: float, request_timeout_s: float, idle_timeout_s: float
+        connection: ClientConnection, now: float, limits: timeouts.ConnectionTimeouts
     ) -> bool:
         callback(connection, now)
-        return close_if_timed_out(connection, now, request_timeout_s, idle_timeout_s)
+        return close_if_timed_out(connection, now, limits)
 
     monkeypatch.setattr(ClientConnection, "close_if_timed_out", call_then_check)
 
--- a/tests/network/client/test_connection_states.py
+++ b/tests/network/client/test_connection_states.py
@@ -1,17 +1,20 @@
-"""What is left over at the end of a share is seen again."""
+"""What is left over at the end of a share is seen again, and each state of a connection has an end."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+import socket
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
 
+from loadbalancer.network.client import timeouts
 from loadbalancer.network.client.pipeline import STEPS_PER_SHARE
 from loadbalancer.network.client.requests.request_reader import HEAD_SLICE_BYTES, RequestReader
-from tests.support.disconnecting_clients import request_bytes
+from tests.support.disconnecting_clients import request_bytes, wait_until_disconnected
 from tests.support.http_messages import response, status
 from tests.support.scripted_upstream import Upstream
 from tests.support.waiting import wait_until
@@ -143,6 +146,67 @@
     assert await client.reader.read() == b""
 
 
+@dataclass(frozen=True)
+class State:
+    """A state in which a client leaves its connection.
+
+    Attributes:
+        name: The name of the test case.
+        sent: What the client sends last.
+        half_closes: Whether it closes its sending side after that.
+        is_memory_short: Whether requests are refused for memory.
+    """
+
+    name: str
+    sent: bytes
+    half_closes: bool = False
+    is_memory_short: bool = False
+
+
+PARTIAL_BODY = request_bytes("/pay", 9_000, b"debit" * 300)[:-1]
+STATES = [
+    State("idle", b""),
+    State("empty line", b"\r\n"),
+    State("partial head", b"GET /read HT"),
+    State("partial head of several slices", improper_request(2 * SHARE_BYTES)[:-1]),
+    State("partial body", PARTIAL_BODY),
+    State("discarded body", PARTIAL_BODY, is_memory_short=True),
+    State("improper request", improper_request(SHARE_BYTES)),
+    State("improper request and more", improper_request(SHARE_BYTES) + b"x" * 10_000),
+    State("spoilt bytes", b"spoilt\r\n\r\n"),
+    State("whole request", request_bytes("/read", 9_001)),
+    State("whole request, then a partial one", request_bytes("/read", 9_002) + b"GET /read HT"),
+    State("long request", long_request(9_003, 2 * SHARE_BYTES)),
+    State("last request", request_bytes("/read", 9_004).replace(b"X-Class", b"Connection: close\r\nX-Class")),
+    State("half closed", b"", half_closes=True),
+    State("half closed within a request", b"GET /read HT", half_closes=True),
+]
+
+
+@pytest.mark.parametrize("leaves_response_unread", [False, True])
+@pytest.mark.parametrize("state", STATES, ids=lambda state: state.name)
+async def test_each_state_has_an_end(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch, state: State, *, leaves_response_unread: bool
+) -> None:
+    """Guards against connections that keep their places for good: nothing else is accepted in the end."""
+    harness = await start_proxy(Upstream(LARGE_RESPONSE if leaves_response_unread else response()))
+    client = UnreadClient(harness)
+    if leaves_response_unread:
+        await client.leave_response_unread()
+    else:
+        await client.send(request_bytes("/read", 0))
+    if state.is_memory_short:
+        harness.proxy.budget.limit_bytes = harness.proxy.budget.used_bytes
+    await client.send(state.sent)
+    if state.half_closes:
+        client.socket.shutdown(socket.SHUT_WR)
+    monkeypatch.setattr(timeouts, "REQUEST_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(timeouts, "KEEP_ALIVE_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(timeouts, "UNREAD_REJECTION_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(timeouts, "WRITE_STALL_TIMEOUT_S", 0.4)
+    await wait_until_disconnected(harness)
+
+
 async def test_request_is_parsed_once_responses_before_it_are_read(
     start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -156,3 +220,19 @@
     await wait_until(lambda: budget.limit_bytes < limit_bytes, "the request is read")
     budget.limit_bytes = limit_bytes
     assert await client.read_responses(client.request_count + 1) == [200] * (client.request_count + 1)
+
+
+@pytest.mark.parametrize("half_closes", [False, True])
+async def test_clients_that_read_nothing_are_evicted_first(
+    start_proxy: StartProxy, *, half_closes: bool
+) -> None:
+    """Guards against places that such clients keep for as long as responses may stay unread."""
+    harness = await start_proxy(Upstream(LARGE_RESPONSE))
+    stalled_clients = [UnreadClient(harness) for _ in range(2)]
+    for client in stalled_clients:
+        await client.leave_response_unread()
+        await client.send(b"".join(request_bytes("/read", next(REQUEST_IDS)) for _ in range(3)))
+        if half_closes:
+            client.socket.shutdown(socket.SHUT_WR)
+    harness.proxy.listener.connection_limit = len(harness.proxy.listener.connections)
+    assert status(await harness.send_request()) == 200
