Answer all that was read before a shutdown ends

What waits behind an open request is refused from 0.3 s before, without being kept; refusals are written 32 at a time; the loop runs until nothing is left, or until 50 ms before the earliest SIGKILL. Input kept behind an open request is at most 256 KiB a connection. The queue of complete requests has its own module.

--- a/loadbalancer/network/client/connection.py
+++ b/loadbalancer/network/client/connection.py
@@ -88,6 +88,17 @@
         """Whether a timer will abort the connection, one side of which is already closed."""
         return self._transport.is_abort_scheduled
 
+    def has_unanswered_input(self) -> bool:
+        """Return whether a request is open, or input or a response waits in this process."""
+        if not self._transport.is_open:
+            return False
+        has_input = bool(self._reader.unparsed_bytes) and not self._transport.discards_input
+        return self._pipeline.has_open_request() or has_input or self._transport.has_unsent_bytes()
+
+    def handle_waiting_input(self) -> None:
+        """Handle what waits, as far as it may be handled now."""
+        self._pipeline.resume()
+
     def is_awaiting_request(self) -> bool:
         """Return whether no request is open, and a request is arriving or none has arrived yet."""
         return self.expiry.is_awaiting_request()
--- a/loadbalancer/network/client/graceful_shutdown.py
+++ b/loadbalancer/network/client/graceful_shutdown.py
@@ -34,6 +34,15 @@
 SHUTDOWN_POLL_INTERVAL_S = 0.01
 """Interval between checks of the accept queue and of the connections."""
 
+SHUTDOWN_REFUSE_WAITING_S = 0.3
+"""How long before the open requests are aborted those that wait behind them are refused."""
+
+SHUTDOWN_KILL_S = 0.7
+"""How long after the longest deadline, counted from SIGTERM, the platform may kill the process."""
+
+SHUTDOWN_KILL_MARGIN_S = 0.05
+"""How long before that time the process ends, even if requests are open."""
+
 SHUTDOWN_FINAL_ITERATIONS = 5
 """Minimum number of event loop iterations after the open requests have been aborted."""
 
@@ -97,6 +106,8 @@
     async def _close_idle_connections(self) -> None:
         max_elapsed_s = SHUTDOWN_ACCEPT_S + self._max_deadline_s
         while self._listener.connections and self._elapsed_s() < max_elapsed_s:
+            if self._elapsed_s() >= max_elapsed_s - SHUTDOWN_REFUSE_WAITING_S:
+                self._refuse_waiting_requests()
             for connection in self._listener.connections:
                 is_recently_active = (
                     connection.idle_since >= time.monotonic() - SHUTDOWN_NEW_CONNECTION_GRACE_S
@@ -109,12 +120,23 @@
                     connection.close_gracefully()
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
 
+    def _refuse_waiting_requests(self) -> None:
+        self._context.refuses_waiting_requests = True
+        for connection in self._listener.connections:
+            if connection.has_unanswered_input():
+                connection.handle_waiting_input()
+
     async def _abort_open_requests(self) -> None:
+        self._refuse_waiting_requests()
         self._context.handler.abort_open_requests()
         # On a busy loop a sleep of any length may take a single iteration. A connection that has just been
         # accepted needs several iterations until it is set up, its request read and the response written.
         for _ in range(SHUTDOWN_FINAL_ITERATIONS):
             await asyncio.sleep(SHUTDOWN_FINAL_ITERATION_S)
+        await self._poll_until(
+            lambda: not any(connection.has_unanswered_input() for connection in self._listener.connections),
+            self._max_deadline_s + SHUTDOWN_KILL_S - SHUTDOWN_KILL_MARGIN_S,
+        )
 
     async def _poll_until(self, is_satisfied: Callable[[], bool], max_elapsed_s: float) -> None:
         """Wait until a condition holds, or until `max_elapsed_s` seconds after the shutdown started."""
--- a/loadbalancer/network/client/input_limits.py
+++ b/loadbalancer/network/client/input_limits.py
@@ -19,6 +19,9 @@
 that send much leave room for the others.
 """
 
+MAX_UNHANDLED_BYTES = 262_144
+"""Number of bytes that unhandled input of one connection may occupy, however much is available."""
+
 
 class InputLimits:
     """Accounts for the memory that the input of one connection occupies, and limits it.
@@ -52,7 +55,7 @@
         if input_bytes != self._accounted_input:
             self._budget.adjust(HeldKind.INPUT, input_bytes - self._accounted_input)
             self._accounted_input = input_bytes
-        queued_bytes = self._reader.queued_bytes
+        queued_bytes = self._reader.queue.size_bytes
         if queued_bytes != self._accounted_queue:
             self._budget.adjust(HeldKind.QUEUED_REQUESTS, queued_bytes - self._accounted_queue)
             self._accounted_queue = queued_bytes
@@ -112,8 +115,9 @@
     def _is_limit_reached(self) -> bool:
         """Return whether too much is held; an incomplete request counts only if the budget is used up."""
         reader = self._reader
-        unhandled_bytes = reader.unparsed_bytes + reader.queued_bytes
+        unhandled_bytes = reader.unparsed_bytes + reader.queue.size_bytes
         available_bytes = self._budget.available_bytes
         if available_bytes <= 0:
             return unhandled_bytes + reader.input_bytes > 0
-        return unhandled_bytes > 0 and unhandled_bytes >= AVAILABLE_FRACTION * available_bytes
+        max_bytes = min(AVAILABLE_FRACTION * available_bytes, MAX_UNHANDLED_BYTES)
+        return unhandled_bytes > 0 and unhandled_bytes >= max_bytes
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -20,6 +20,9 @@
 STEPS_PER_SHARE = 4
 """Number of slices parsed and requests begun, together, in one share of a turn."""
 
+REFUSALS_PER_STEP = 32
+"""Number of refusals that are written at once."""
+
 NO_MEMORY = Rejection(503, "too much is waiting here")
 
 
@@ -86,14 +89,15 @@
         if not self._transport.is_open:
             return False
         self._limits.apply()
+        if self._context.refuses_waiting_requests and self.has_open_request():
+            self.reader.refuse_queued()
         for _ in range(STEPS_PER_SHARE):
             if not self._begin_next() and not self._parse_next():
                 break
         if not self._transport.is_open:
             return False
         if self._transport.discards_input:
-            # Input that follows a request with `Connection: close` must not be parsed: a response to it would
-            # be written after the end of the connection.
+            # Nothing is parsed behind the last request: its response would follow the end of the connection.
             self.reader.discard_unparsed()
         self._limits.account()
         if self._context.budget.is_high:
@@ -109,13 +113,13 @@
         if not self.reader.queue:
             self._write_rejection()
             return False
-        first = self.reader.queue[0]
+        first = self.reader.queue.first
         if isinstance(first, RefusedRequests):
             self._refuse(first)
             return True
         if not self._waiting.may_begin(first):
             return False
-        self.reader.take_request(first)
+        self.reader.queue.take(first)
         first.set_responder(self)
         self._current_request = first
         self._handle_request(first)
@@ -132,8 +136,7 @@
 
     def _write_rejection(self) -> None:
         """Write the rejection, if one waits; it ends the connection."""
-        rejection = self._waiting.take_rejection()
-        if rejection is not None:
+        if rejection := self._waiting.take_rejection():
             self._writer.write_rejection(rejection, is_final=True)
 
     def _handle_request(self, request: IncomingRequest) -> None:
@@ -193,10 +196,14 @@
         return self._context.closes_connections and is_all_parsed
 
     def _refuse(self, refused: RefusedRequests) -> None:
-        """Respond to the first request of the queue, for which there was no memory."""
-        keep_alive = self.reader.take_refused_request(refused)
-        self._context.counters.refused_for_memory += 1
-        self._writer.write_rejection(NO_MEMORY, is_final=self._is_final(keep_alive=keep_alive))
+        """Respond to the first requests of the queue, for which there was no memory or no time."""
+        count = min(max(refused.count - 1, 1), REFUSALS_PER_STEP)  # the last one may end the connection
+        keep_alive = self.reader.queue.take_refused(refused, count)
+        self._context.counters.refused_for_memory += count
+        if refused.count:
+            self._writer.write_refusals(NO_MEMORY, count)
+        else:
+            self._writer.write_rejection(NO_MEMORY, is_final=self._is_final(keep_alive=keep_alive))
 
 
 def _respond_to_health_check(request: IncomingRequest, *, is_shutting_down: bool) -> None:
--- a/loadbalancer/network/client/requests/request_reader.py
+++ b/loadbalancer/network/client/requests/request_reader.py
@@ -6,14 +6,15 @@
 import time
 from typing import TYPE_CHECKING
 
-from loadbalancer.network.client.requests.incoming_request import IncomingRequest, RefusedRequests
 from loadbalancer.network.client.requests.receive_buffer import ArrivalEstimate, ReceiveBuffer
 from loadbalancer.network.client.requests.request_arrival import RequestArrival
 from loadbalancer.network.client.requests.request_parser import HEAD_TOO_LARGE, RequestParser
+from loadbalancer.network.client.requests.request_queue import RequestQueue
 from loadbalancer.network.headers import MAX_HEAD_BYTES
-from loadbalancer.network.memory_budget import HEADER_FIELD_BYTES, QUEUED_REQUEST_BYTES
+from loadbalancer.network.memory_budget import HEADER_FIELD_BYTES
 
 if TYPE_CHECKING:
+    from loadbalancer.network.client.requests.incoming_request import IncomingRequest
     from loadbalancer.network.client.requests.rejection import Rejection
     from loadbalancer.settings import RequestClass
 
@@ -27,11 +28,11 @@
 class RequestReader:
     """Buffers the bytes of one connection and parses them into requests, a slice at a time.
 
-    The pipeline passes bytes to `receive`, calls `parse_slice` while `has_parsable_input`, and removes
+    The pipeline passes bytes to `receive`, calls `parse_slice` while `has_parsable_input`, and takes
     complete requests from the queue. After a rejection it calls `discard_input` and parses no further.
 
     Attributes:
-        queue: The complete requests that have not been removed yet, the oldest first.
+        queue: The complete requests that wait to be handled.
         arrival: Tracks when the current request began to arrive, and whether it is complete.
         estimate: Estimates when input arrived that was left in the kernel.
         last_received_at: When bytes were last received (seconds of the monotonic clock); -inf if none have
@@ -42,7 +43,6 @@
         "_buffer",
         "_parser",
         "_partial_bytes",
-        "_queued_bytes",
         "arrival",
         "estimate",
         "last_received_at",
@@ -63,14 +63,13 @@
             first_arrived_at: When the first input reached the kernel, if that was before the connection was
                 accepted; else None.
         """
-        self.queue: list[IncomingRequest | RefusedRequests] = []
+        self.queue = RequestQueue()
         self.arrival = RequestArrival(connected_at)
         self.estimate = ArrivalEstimate(first_arrived_at)
         self.last_received_at = -math.inf
         self._parser = RequestParser(classes, self.arrival, self._add_request)
         self._buffer = ReceiveBuffer()
         self._partial_bytes = 0  # parsed bytes of a request that is not complete
-        self._queued_bytes = 0
 
     @property
     def is_refusing(self) -> bool:
@@ -89,11 +88,6 @@
             return self._buffer.size
         return self._buffer.size + self._partial_bytes + self._parser.partial_field_count * HEADER_FIELD_BYTES
 
-    @property
-    def queued_bytes(self) -> int:
-        """Memory that the queued requests occupy."""
-        return self._queued_bytes
-
     @property
     def has_partial_request(self) -> bool:
         """Whether bytes were received that do not make up a complete request yet."""
@@ -152,23 +146,15 @@
             self._partial_bytes = 0
         return None
 
-    def take_request(self, request: IncomingRequest) -> None:
-        """Remove a request, the first of the queue."""
-        del self.queue[0]
-        self._queued_bytes -= request.size_bytes + QUEUED_REQUEST_BYTES
-
-    def take_refused_request(self, refused: RefusedRequests) -> bool:
-        """Remove one refused request, the first of the queue; return whether the connection may stay open."""
-        refused.count -= 1
-        if refused.count:
-            return True
-        del self.queue[0]
-        return refused.keep_alive
-
     def start_refusing(self) -> None:
         """Refuse the incomplete request and all that follow, and release the body that has been received."""
         self._parser.start_refusing()
 
+    def refuse_queued(self) -> None:
+        """Refuse the queued requests too, and all that follow."""
+        self.start_refusing()
+        self.queue.refuse_all()
+
     def stop_refusing(self) -> None:
         """Queue the requests that begin from now on; the incomplete one is still refused."""
         self._parser.is_refusing = False
@@ -187,17 +173,10 @@
         """Drop all input and all requests; nothing may be parsed afterwards."""
         self.discard_input()
         self.queue.clear()
-        self._queued_bytes = 0
 
     def _add_request(self, request: IncomingRequest | None) -> None:
         """Queue a complete request; None stands for one whose body was discarded."""
         if request is not None:
-            self.queue.append(request)
-            self._queued_bytes += request.size_bytes + QUEUED_REQUEST_BYTES
-            return
-        last = self.queue[-1] if self.queue else None
-        if not isinstance(last, RefusedRequests):
-            last = RefusedRequests()
-            self.queue.append(last)
-        last.count += 1
-        last.keep_alive = self._parser.keep_alive
+            self.queue.add(request)
+        else:
+            self.queue.add_refused(keep_alive=self._parser.keep_alive)
--- a/loadbalancer/network/client/response_writer.py
+++ b/loadbalancer/network/client/response_writer.py
@@ -72,6 +72,13 @@
             reason = CloseReason.SHUTDOWN if is_shutdown else CloseReason.FINAL_RESPONSE
             self._transport.close_gracefully(reason, timeouts.LINGER_TIMEOUT_S)
 
+    def write_refusals(self, rejection: Rejection, count: int) -> None:
+        """Write the same response to several requests at once, none of which is the last one."""
+        self.idle_since = time.monotonic()
+        self._context.counters.responses[rejection.status] += count
+        body = rejection.reason.encode() + b"\n"
+        self._transport.write(serialize_response(rejection.status, [], body, closes_connection=False) * count)
+
     def write_rejection(self, rejection: Rejection, *, is_final: bool) -> None:
         """Write the response to a request that is not accepted."""
         self.write(rejection.status, [], rejection.reason.encode() + b"\n", is_final=is_final)
--- a/loadbalancer/network/client/waiting_input.py
+++ b/loadbalancer/network/client/waiting_input.py
@@ -62,7 +62,7 @@
         if is_handling_request or self._transport.has_unsent_bytes():
             return False
         if self._reader.queue:
-            return self.may_begin(self._reader.queue[0])
+            return self.may_begin(self._reader.queue.first)
         return self._rejection is not None
 
     def can_parse(self, *, is_handling_request: bool) -> bool:
--- a/tests/network/client/test_graceful_shutdown.py
+++ b/tests/network/client/test_graceful_shutdown.py
@@ -9,6 +9,8 @@
 from loadbalancer.events import Outcome
 from loadbalancer.network.client import graceful_shutdown
 from loadbalancer.network.client.expiry import ConnectionExpiry
+from loadbalancer.network.client.requests.request_reader import HEAD_SLICE_BYTES
+from tests.support.disconnecting_clients import request_bytes
 from tests.support.event_recorder import outcomes, record_events
 from tests.support.http_messages import response, status
 from tests.support.scripted_upstream import Upstream, never_respond
@@ -48,6 +50,10 @@
     return client
 
 
+async def read_statuses(client: Client, count: int) -> list[int]:
+    return [status(await client.read_response()) for _ in range(count)]
+
+
 async def test_connections_stay_open_for_keep_alive_time(
     start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -240,3 +246,48 @@
     assert {status(reply) for reply in replies} <= {200, 502, 503}
     client.writer.close()
     await shutdown
+
+
+async def test_many_pipelined_requests_get_responses_at_the_end_of_shutdown(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an end after a fixed number of iterations, with requests left (review case 8)."""
+    set_shutdown_times(monkeypatch, accept_s=0.0, keep_alive_s=0.0, max_deadline_s=0.2)
+    monkeypatch.setattr(graceful_shutdown, "SHUTDOWN_KILL_S", 60.0)  # whatever the speed of the machine
+    client_count, request_count = 4, 3_000
+    harness = await start_proxy(Upstream(never_respond))
+    clients = [await harness.connect_client() for _ in range(client_count)]
+    for number, client in enumerate(clients):
+        ids = range(number * request_count, (number + 1) * request_count)
+        client.writer.write(b"".join(request_bytes("/read", request_id) for request_id in ids))
+    await wait_until(lambda: harness.proxy.open_requests == client_count, "a request of each is open")
+    reading = [asyncio.ensure_future(read_statuses(client, request_count)) for client in clients]
+    await harness.proxy.listener.shut_down()
+    responses = harness.proxy.listener.context.counters.responses
+    assert responses[502] + responses[503] == client_count * request_count
+    for statuses in await asyncio.gather(*reading):
+        assert set(statuses) <= {502, 503}
+
+
+async def test_requests_that_wait_behind_others_are_refused_before_the_end(
+    start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Their refusals take no time from the final responses; a request that waits for none is forwarded."""
+    set_shutdown_times(monkeypatch, accept_s=0.0, keep_alive_s=0.0, max_deadline_s=60.0)
+    monkeypatch.setattr(graceful_shutdown, "SHUTDOWN_REFUSE_WAITING_S", 120.0)
+    upstream = Upstream(never_respond)
+    harness = await start_proxy(upstream)
+    harness.proxy.listener.max_deadline_s = 60.0
+    client = await harness.connect_client()
+    for _ in range(3):
+        client.send("/pay/x", b"debit" * HEAD_SLICE_BYTES)  # none is parsed together with another one
+    await upstream.request_received.wait()
+    shutdown = asyncio.ensure_future(harness.proxy.listener.shut_down())
+    context = harness.proxy.listener.context
+    await wait_until(lambda: context.refuses_waiting_requests, "waiting requests are refused")
+    for writer in upstream.writers:
+        writer.write(response())
+    assert [status(await client.read_response()) for _ in range(3)] == [200, 503, 503]
+    assert len(upstream.received) == 1
+    client.writer.close()
+    await shutdown
--- a/tests/network/client/test_pipelined_requests.py
+++ b/tests/network/client/test_pipelined_requests.py
@@ -8,6 +8,9 @@
 
 import pytest
 
+from loadbalancer.network.client.context import READ_BYTES
+from loadbalancer.network.client.input_limits import MAX_UNHANDLED_BYTES
+from loadbalancer.network.memory_budget import HeldKind
 from tests.support.disconnecting_clients import request_bytes
 from tests.support.http_messages import ReceivedMessage, response, status
 from tests.support.scripted_upstream import Upstream, never_respond
@@ -83,3 +86,24 @@
     received = [request for upstream in upstreams for request in upstream.received]
     ids = [request.headers["x-request-id"] for request in received]
     assert len([request_id for request_id in ids if request_id != "last"]) == begun_count
+
+
+async def test_input_behind_an_open_request_is_bounded(start_proxy: StartProxy) -> None:
+    """Guards against work without bound that is owed at a shutdown: beyond the bound requests are refused."""
+    upstream = Upstream(never_respond)
+    harness = await start_proxy(upstream)
+    budget = harness.proxy.budget
+    client = await harness.connect_client()
+    client.send()
+    await upstream.request_received.wait()
+    health_check = b"GET /healthz HTTP/1.1\r\n\r\n"
+    count = 3 * MAX_UNHANDLED_BYTES // len(health_check)
+    client.writer.write(health_check * count)
+    peak_bytes = 0
+    for _ in range(1_000):
+        peak_bytes = max(peak_bytes, budget.held_bytes[HeldKind.INPUT])
+        await asyncio.sleep(0)
+    assert peak_bytes <= MAX_UNHANDLED_BYTES + READ_BYTES
+    upstream.writers[0].write(response())
+    assert status(await client.read_response()) == 200
+    assert set(await read_statuses(client, count)) == {503}
