Hold nothing of a response that was passed on

ResponseParser dropped a message when the next one began: each idle connection to an upstream held its last response, which the memory budget had given back.

The parser drops it when it is passed on.

--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -66,7 +66,7 @@
         self._may_reuse = False
         self._ends_with_connection = False  # whether the end of the connection ends the response
         self._has_certain_end = True  # whether the upstream can't take the end to be elsewhere
-        self.on_message_begin()
+        self._drop_message()
 
     @property
     def may_reuse(self) -> bool:
@@ -93,16 +93,31 @@
             raise InvalidResponseError(_INTERIM_RESPONSES_TOO_LARGE)
         response, self._response = self._response, None
         if response is not None:
-            self._bytes_since_response = 0
+            self._release()
         return response
 
     def finish(self) -> Response | None:
         """Return the response that the orderly end of the connection completes; None if there is none."""
         if not self._ends_with_connection:
             return None
-        self._ends_with_connection = False
         self._may_reuse = False
-        return Response(self._parser.get_status_code(), self._headers, bytes(self._body))
+        response = Response(self._parser.get_status_code(), self._headers, bytes(self._body))
+        self._release()
+        return response
+
+    def _drop_message(self) -> None:
+        """Drop what is held of the message, for the next one."""
+        self._headers: Headers = []
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._header_bytes = 0
+        self._ends_with_connection = False
+        self._has_certain_end = True
+
+    def _release(self) -> None:
+        """Hold nothing of a response that was passed on: the connection may be idle for a long time."""
+        self._drop_message()
+        self._bytes_since_response = 0
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -118,12 +133,7 @@
         """Discard the previous message if it was an interim response; no message may follow a final one."""
         if self._response is not None:
             raise InvalidResponseError(_MORE_THAN_ONE_RESPONSE)
-        self._headers: Headers = []
-        self._body = bytearray()
-        self._body_bytes = 0
-        self._header_bytes = 0
-        self._ends_with_connection = False
-        self._has_certain_end = True
+        self._drop_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, up to the size limit."""
--- a/tests/network/test_response_parser.py
+++ b/tests/network/test_response_parser.py
@@ -92,3 +92,28 @@
     assert response is not None
     assert response.body == body
     assert parser.may_reuse
+
+
+@PIECE_SIZES
+@pytest.mark.parametrize(
+    "data",
+    [
+        encode(b"HTTP/1.1 200 OK", b"Content-Length: 60000\r\n", b"x" * 60_000),
+        encode(b"HTTP/1.1 503 Busy", b"X-Long: %b\r\nContent-Length: 0\r\n" % (b"y" * 30_000)),
+    ],
+)
+def test_nothing_is_held_after_response(data: bytes, piece_bytes: int) -> None:
+    """Guards against idle connections that each keep their last response (review case 9)."""
+    response, parser = parse(data, piece_bytes)
+    assert response is not None
+    assert parser.held_bytes == 0
+    assert parser.feed(NEXT_RESPONSE) is not None
+
+
+def test_nothing_is_held_after_response_without_length() -> None:
+    parser = ResponseParser()
+    parser.feed(encode(b"HTTP/1.1 200 OK", b"", b"x" * 60_000))
+    response = parser.finish()
+    assert response is not None
+    assert len(response.body) == 60_000
+    assert parser.held_bytes == 0
