Read endpoint lists in bounded memory

With 3,200 upstreams and whole lists a balancer with 32 MB passed 32,768 KiB within 1.1 s of being ready. Each list was decoded as a whole, which takes several times its text, and replaced the objects of all entries, so that the heap grew in fragments.

Entries are converted one by one as they are decoded, and those that have not changed keep their objects. The text of a list is still outside the budget.

--- a/loadbalancer/configuration.py
+++ b/loadbalancer/configuration.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from loadbalancer import settings_reader
+from loadbalancer.endpoint_list_document import read_document
 from loadbalancer.endpoints import Endpoint, EndpointState
 from loadbalancer.errors import LoadBalancerError
 
@@ -188,6 +189,32 @@
         raise MalformedEndpointListError(error) from None
 
 
+def decode_endpoint_list(
+    body: bytes, replace: Callable[[EndpointListEntry], EndpointListEntry] | None = None
+) -> EndpointList:
+    """Read an endpoint list from JSON in the format of discovery.
+
+    Args:
+        body: The JSON text.
+        replace: Returns the entry to use in place of one that was read.
+
+    Raises:
+        EndpointListError: The document is not an endpoint list.
+        InvalidAddressError: The address of an entry is not of the form `host:port`.
+        ValueError: The text is not JSON.
+    """
+    try:
+        document = read_document(
+            body,
+            "endpoints",
+            lambda entry: replace(_read_endpoint(entry)) if replace else _read_endpoint(entry),
+        )
+        endpoints = _require_list(document["endpoints"])
+        return EndpointList(int(document["index"]), bool(document["snapshot"]), tuple(endpoints))
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+        raise MalformedEndpointListError(error) from None
+
+
 def read_address(text: object) -> Address:
     """Split an address of the form `host:port`; the host is not resolved.
 
@@ -221,6 +248,12 @@
     )
 
 
+def _require_list(value: object) -> list[EndpointListEntry]:
+    if not isinstance(value, list):
+        raise TypeError(type(value).__name__)
+    return value
+
+
 def _read_endpoint(entry: Mapping[str, Any]) -> EndpointListEntry:
     weight = float(entry.get("weight") or 1.0)
     started_at_ms = float(entry.get("since_ms") or 0.0)
--- a/loadbalancer/network/discovery/watch.py
+++ b/loadbalancer/network/discovery/watch.py
@@ -9,13 +9,12 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import math
 import random
 from typing import TYPE_CHECKING
 
-from loadbalancer.configuration import read_endpoint_list
 from loadbalancer.network.discovery.connection import DiscoveryConnection, DiscoveryStatusError
+from loadbalancer.network.discovery.list_reader import EndpointListReader
 from loadbalancer.network.discovery.retry_schedule import RetrySchedule
 
 if TYPE_CHECKING:
@@ -71,6 +70,7 @@
         self._version = (
             configuration.known_endpoints.version if configuration.known_endpoints.endpoints else _NO_VERSION
         )
+        self._reader = EndpointListReader(configuration.known_endpoints)
         self._schedule = RetrySchedule(
             random.Random(configuration.seed).random, polls_discovery=self._polls_discovery
         )
@@ -157,7 +157,7 @@
         response = await connection.send_request(request, timeout_s)
         if response.status != 200:
             raise DiscoveryStatusError(response.status)
-        return read_endpoint_list(json.loads(response.body))
+        return self._reader.read(response.body)
 
     async def _connect(self) -> DiscoveryConnection:
         """Return the open connection, or open one."""
--- a/tests/network/test_readiness.py
+++ b/tests/network/test_readiness.py
@@ -139,7 +139,8 @@
     assert own_modules == {"loadbalancer"} | {
         f"loadbalancer.{name}"
         for name in (
-            "__main__ actions configuration endpoints errors events imports_without_tls network "
+            "__main__ actions configuration endpoint_list_document endpoints errors events "
+            "imports_without_tls network "
             "network.action_executor network.client network.client.accept_queue network.client.connection "
             "network.client.connection_table network.client.context network.client.eviction "
             "network.client.expiry network.client.graceful_shutdown "
@@ -153,7 +154,8 @@
             "network.client.response_writer network.client.timeouts network.client.transport "
             "network.client.waiting_input "
             "network.clock network.counters network.deadline_watchdog network.discovery "
-            "network.discovery.connection network.discovery.retry_schedule network.discovery.watch "
+            "network.discovery.connection network.discovery.list_reader "
+            "network.discovery.retry_schedule network.discovery.watch "
             "network.endpoint_list_updater network.errors network.event_dispatcher network.headers "
             "network.log network.memory_budget network.memory_monitor network.open_requests network.proxy "
             "network.request_ids network.resident_memory network.response_parser network.sockets "
