Await a list of discovery as long as bytes of it arrive

Lists without a length were rejected.

The 0.5 s run from each byte to the next; a response that has begun is awaited up to 5 s. A response without a length ends with the orderly end of its connection.

--- a/loadbalancer/network/discovery/connection.py
+++ b/loadbalancer/network/discovery/connection.py
@@ -9,13 +9,16 @@
 from loadbalancer.network.errors import ProtocolError
 from loadbalancer.network.response_parser import Response, ResponseParser
 
-BODY_TIMEOUT_S = 0.5
-"""Time limit from the first byte of a response to its last.
+STALL_TIMEOUT_S = 0.5
+"""Time limit from one byte of a response to the next.
 
 Detects a truncated response long before the request times out: the timeout of a watch request also includes
 the time for which discovery waits for a change.
 """
 
+BODY_TIMEOUT_S = 5.0
+"""Time limit from the first byte of a response to its last; a change must be received within 6 s."""
+
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 """Maximum size of a response; an endpoint list of 7,000 entries has 930 kB."""
 
@@ -65,14 +68,15 @@
     def __init__(self) -> None:
         self.is_closed = False
         self._transport: asyncio.Transport | None = None
-        self._parser = ResponseParser(MAX_RESPONSE_BYTES, requires_length=True)
+        self._parser = ResponseParser(MAX_RESPONSE_BYTES)
         self._response: asyncio.Future[Response] | None = None
-        self._timeout: asyncio.Timeout | None = None  # set until the response begins
+        self._timeout: asyncio.Timeout | None = None
+        self._began_at: float | None = None  # when the response began, on the clock of the event loop
 
     @property
     def is_receiving(self) -> bool:
         """Whether a response has begun and is not complete."""
-        return self._response is not None and not self._response.done() and self._timeout is None
+        return self._response is not None and not self._response.done() and self._began_at is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -90,11 +94,18 @@
             self.close()
             return
         if response is None:
-            self._start_body_timeout()
+            self._extend_timeout()
             return
         self.is_closed = self.is_closed or not self._parser.may_reuse
         self._response.set_result(response)
 
+    def eof_received(self) -> None:
+        """Take a response without a length as complete: the orderly end of the connection ends it."""
+        self.is_closed = True
+        response = self._parser.finish()
+        if response is not None and self._response is not None and not self._response.done():
+            self._response.set_result(response)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress, if there is one."""
         self.is_closed = True
@@ -105,8 +116,8 @@
 
         Args:
             request: The bytes of the request.
-            timeout_s: The time limit of the request. The response also has to be complete within
-                `BODY_TIMEOUT_S` of its first byte.
+            timeout_s: The time limit until the response begins. Each byte of it then has to arrive within
+                `STALL_TIMEOUT_S` of the one before, and the last one within `BODY_TIMEOUT_S` of the first.
 
         Raises:
             DiscoveryError: The connection ended, or carried bytes that are not a valid response.
@@ -116,6 +127,7 @@
         if self._transport is None or self.is_closed:
             raise DiscoveryDisconnectedError
         self._response = asyncio.get_running_loop().create_future()
+        self._began_at = None
         self._transport.write(request)
         try:
             async with asyncio.timeout(timeout_s) as self._timeout:
@@ -129,16 +141,13 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _start_body_timeout(self) -> None:
-        """Shorten the timeout of the request when the first bytes of its response arrive."""
-        if self._timeout is None:
-            return
-        timeout, self._timeout = self._timeout, None
-        request_timeout_at = timeout.when()
-        body_timeout_at = asyncio.get_running_loop().time() + BODY_TIMEOUT_S
-        timeout.reschedule(
-            body_timeout_at if request_timeout_at is None else min(request_timeout_at, body_timeout_at)
-        )
+    def _extend_timeout(self) -> None:
+        """Replace the timeout of the request when bytes of its response arrive."""
+        now = asyncio.get_running_loop().time()
+        if self._began_at is None:
+            self._began_at = now
+        if self._timeout is not None:
+            self._timeout.reschedule(min(now + STALL_TIMEOUT_S, self._began_at + BODY_TIMEOUT_S))
 
     def _fail(self, error: Exception) -> None:
         if self._response is not None and not self._response.done():
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -31,7 +31,6 @@
 _PROTOCOL_SWITCH = "protocol switch (status 101), which was not requested"
 _AMBIGUOUS_LENGTH = "conflicting or unsupported Content-Length or Transfer-Encoding"
 _INVALID_LENGTH = "Content-Length is invalid or exceeds the size limit"
-_NO_LENGTH = "neither Content-Length nor chunked: a truncated body could not be detected"
 
 
 class Response:
@@ -54,12 +53,10 @@
 
     Args:
         max_body_bytes: The maximum size of a body.
-        requires_length: Whether responses without a length are rejected; the end of the connection ends them.
     """
 
-    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES, *, requires_length: bool = False) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self._max_body_bytes = max_body_bytes
-        self._requires_length = requires_length
         self._parser = httptools.HttpResponseParser(self)
         self._response: Response | None = None
         self._bytes_since_response = 0
@@ -171,8 +168,6 @@
     def _check_body_framing(self, *, has_length: bool, is_chunked: bool) -> None:
         """Determine what ends the body, and whether that is certain (RFC 9112, section 6.1)."""
         self._ends_with_connection = not has_length and not is_chunked
-        if self._ends_with_connection and self._requires_length:
-            raise InvalidResponseError(_NO_LENGTH)
         if is_chunked:
             self._has_certain_end = self._parser.get_http_version() != _VERSION_WITHOUT_CODINGS
 
--- a/tests/network/discovery/test_discovery_connection.py
+++ b/tests/network/discovery/test_discovery_connection.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
+from loadbalancer.network.discovery import connection as discovery_connection
 from loadbalancer.network.discovery.connection import DiscoveryConnection, DiscoveryDisconnectedError
 from tests.support.http_messages import response
 from tests.support.scripted_discovery import DiscoveryServer
@@ -15,12 +18,116 @@
 TIMEOUT_S = 5.0
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection of a writer."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 async def connect(server: DiscoveryServer) -> DiscoveryConnection:
     host, port = (await server.start()).rsplit(":", 1)
     _, connection = await asyncio.get_running_loop().create_connection(DiscoveryConnection, host, int(port))
     return connection
 
 
+async def send_in_pieces(writer: asyncio.StreamWriter, data: bytes, piece_count: int, pause_s: float) -> None:
+    size = len(data) // piece_count + 1
+    for start in range(0, len(data), size):
+        writer.write(data[start : start + size])
+        await asyncio.sleep(pause_s)
+
+
+@pytest.mark.parametrize("begins_late", [False, True])
+async def test_response_is_awaited_while_bytes_arrive(
+    monkeypatch: pytest.MonkeyPatch, *, begins_late: bool
+) -> None:
+    """Guards against lists that are never taken, since they need longer than a fixed time (case 10)."""
+    monkeypatch.setattr(discovery_connection, "STALL_TIMEOUT_S", 1.0)
+    server = DiscoveryServer()
+    connection = await connect(server)
+    try:
+        timeout_s = 0.3 if begins_late else TIMEOUT_S
+        request = asyncio.ensure_future(connection.send_request(REQUEST, timeout_s))
+        await server.requests.get()
+        # Longer than the stall timeout in all, and than the timeout of a request that begins late.
+        await send_in_pieces(server.writers[0], response(200, b"list" * 100), 12, 0.1)
+        assert (await request).body == b"list" * 100
+    finally:
+        connection.close()
+        server.stop()
+
+
+@pytest.mark.parametrize("limit", ["STALL_TIMEOUT_S", "BODY_TIMEOUT_S"])
+async def test_response_that_does_not_end_times_out(monkeypatch: pytest.MonkeyPatch, limit: str) -> None:
+    monkeypatch.setattr(discovery_connection, limit, 0.2)
+    server = DiscoveryServer()
+    connection = await connect(server)
+    try:
+        request = asyncio.ensure_future(connection.send_request(REQUEST, TIMEOUT_S))
+        await server.requests.get()
+        server.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+        if limit == "BODY_TIMEOUT_S":
+            sending = asyncio.ensure_future(send_in_pieces(server.writers[0], b"x" * 200, 200, 0.05))
+        with pytest.raises(TimeoutError):
+            await request
+        if limit == "BODY_TIMEOUT_S":
+            assert not sending.done()
+            sending.cancel()
+    finally:
+        connection.close()
+        server.stop()
+
+
+async def test_orderly_end_completes_response_without_length() -> None:
+    server = DiscoveryServer()
+    connection = await connect(server)
+    try:
+        request = asyncio.ensure_future(connection.send_request(REQUEST, TIMEOUT_S))
+        await server.requests.get()
+        server.writers[0].write(b"HTTP/1.1 200 OK\r\n\r\nlist")
+        server.writers[0].write_eof()
+        assert (await request).body == b"list"
+        assert connection.is_closed
+    finally:
+        connection.close()
+        server.stop()
+
+
+@pytest.mark.parametrize(
+    "head", [b"HTTP/1.1 200 OK\r\n\r\nli", b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nli"]
+)
+async def test_reset_completes_no_response(head: bytes) -> None:
+    server = DiscoveryServer()
+    connection = await connect(server)
+    try:
+        request = asyncio.ensure_future(connection.send_request(REQUEST, TIMEOUT_S))
+        await server.requests.get()
+        server.writers[0].write(head)
+        await wait_until(lambda: connection.is_receiving, "the response has begun")
+        reset(server.writers[0])
+        with pytest.raises((OSError, DiscoveryDisconnectedError)):
+            await request
+    finally:
+        connection.close()
+        server.stop()
+
+
+async def test_orderly_end_completes_no_response_with_length() -> None:
+    server = DiscoveryServer()
+    connection = await connect(server)
+    try:
+        request = asyncio.ensure_future(connection.send_request(REQUEST, TIMEOUT_S))
+        await server.requests.get()
+        server.writers[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nlist")
+        server.writers[0].write_eof()
+        with pytest.raises(DiscoveryDisconnectedError):
+            await request
+    finally:
+        connection.close()
+        server.stop()
+
+
 @pytest.mark.parametrize("extra_bytes", [response(200, b"stale"), b"HTTP/1.1 200 OK\r\nContent-Le"])
 async def test_bytes_without_request_end_the_connection(extra_bytes: bytes) -> None:
     """Guards against a list that no request asked for being taken for the response to the next request."""
