Make fewer calls for each request that is read

The changes of the parser, the queue and the waiting input had added some thirty calls of Python functions to each request. The queue is a list again, the parser of httptools is called directly, and a share ends at once where a response is awaited.

--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -92,6 +92,8 @@
         if self._context.refuses_waiting_requests and self.has_open_request():
             self.reader.refuse_queued()
         for _ in range(STEPS_PER_SHARE):
+            if self._current_request is not None and not self.reader.is_refusing:
+                break
             if not self._begin_next() and not self._parse_next():
                 break
         if not self._transport.is_open:
@@ -113,7 +115,7 @@
         if not self.reader.queue:
             self._write_rejection()
             return False
-        first = self.reader.queue.first
+        first = self.reader.queue[0]
         if isinstance(first, RefusedRequests):
             self._refuse(first)
             return True
--- a/loadbalancer/network/client/requests/http_parser.py
+++ b/loadbalancer/network/client/requests/http_parser.py
@@ -18,6 +18,9 @@
 
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
+_CLOSED_PARSER = httptools.HttpRequestParser(None)
+"""Takes the place of a parser that is closed; it calls nothing."""
+
 
 class ParserClosedError(InvalidStateError):
     """Bytes were passed to a parser that is closed."""
@@ -52,15 +55,16 @@
     is called again when the request is complete.
 
     Attributes:
+        current: The parser of the current request.
         is_at_offer: Whether httptools has ended a request at the end of its head, because of an offer.
     """
 
-    __slots__ = ("_callbacks", "_parser", "_resumed_head", "is_at_offer")
+    __slots__ = ("_callbacks", "_resumed_head", "current", "is_at_offer")
 
     def __init__(self, callbacks: RequestCallbacks) -> None:
         self._callbacks: RequestCallbacks | None = callbacks
-        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(callbacks)
         self._resumed_head = b""
+        self.current = httptools.HttpRequestParser(callbacks)
         self.is_at_offer = False
 
     def feed(self, data: bytes) -> None:
@@ -71,22 +75,16 @@
                 context of this one.
             ParserClosedError: The parser is closed.
         """
+        if self._callbacks is None:
+            raise ParserClosedError
         while data:
-            data = self._feed_to_offer(data)
-            if self.is_at_offer:
-                self._resume_behind_head()
-
-    def method(self) -> bytes:
-        """Return the method of the request whose head is complete."""
-        return self._require_parser().get_method()
-
-    def version(self) -> str:
-        """Return the version of HTTP of the request, such as `1.1`."""
-        return self._require_parser().get_http_version()
-
-    def should_keep_alive(self) -> bool:
-        """Return whether the connection may stay open after the current request."""
-        return self._require_parser().should_keep_alive()
+            try:
+                self.current.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                data = data[int(upgrade.args[0]) :]
+            else:
+                return
+            self._resume_behind_head(self._callbacks)
 
     def ignore_offer(self, headers: Headers) -> None:
         """Go on behind a head that offers another protocol; no effect for any other head.
@@ -94,36 +92,20 @@
         Args:
             headers: The validated headers of the head, with names in lower case.
         """
-        parser = self._require_parser()
-        if parser.should_upgrade():
+        if self.current.should_upgrade():
             self.is_at_offer = True
-            self._resumed_head = _head_without_offer(headers, keep_alive=parser.should_keep_alive())
+            self._resumed_head = _head_without_offer(headers, keep_alive=self.current.should_keep_alive())
 
     def close(self) -> None:
         """Break the reference cycle with the callbacks; nothing may be parsed after."""
         self._callbacks = None
-        self._parser = None
+        self.current = _CLOSED_PARSER
 
-    def _feed_to_offer(self, data: bytes) -> bytes:
-        """Parse up to the end of a head that offers another protocol; return the bytes behind it."""
-        try:
-            self._require_parser().feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            return data[int(upgrade.args[0]) :]
-        return b""
-
-    def _resume_behind_head(self) -> None:
+    def _resume_behind_head(self, callbacks: RequestCallbacks) -> None:
         """Replace the parser, which parses no further, by one that has read a head with the same framing."""
-        if self._callbacks is None:
-            raise ParserClosedError
         self.is_at_offer = False
-        self._parser = httptools.HttpRequestParser(_CallbacksBehindHead(self._callbacks))
-        self._parser.feed_data(self._resumed_head)  # completes a request without a body
-
-    def _require_parser(self) -> httptools.HttpRequestParser:
-        if self._parser is None:
-            raise ParserClosedError
-        return self._parser
+        self.current = httptools.HttpRequestParser(_CallbacksBehindHead(callbacks))
+        self.current.feed_data(self._resumed_head)  # completes a request without a body
 
 
 class _CallbacksBehindHead:
--- a/loadbalancer/network/client/requests/request_parser.py
+++ b/loadbalancer/network/client/requests/request_parser.py
@@ -195,8 +195,8 @@
         partial_head = self._partial_head
         partial_head.check_size()
         fields, partial_head.fields = partial_head.fields, []
-        _check_version(self._parser.version(), fields)
-        method = self._parser.method()
+        _check_version(self._parser.current.get_http_version(), fields)
+        method = self._parser.current.get_method()
         if self._discards_body:
             self._head = read_refused_head(method, fields)
         else:
@@ -230,7 +230,7 @@
         self.is_in_request = False
         self._partial_head.fields = []  # drops trailers
         self.completed_count += 1
-        self.keep_alive = self._parser.should_keep_alive()
+        self.keep_alive = self._parser.current.should_keep_alive()
         received_at = self._arrival.record_complete_request()
         if self._discards_body:
             self._on_request(None)
--- a/loadbalancer/network/client/waiting_input.py
+++ b/loadbalancer/network/client/waiting_input.py
@@ -57,17 +57,19 @@
         Args:
             is_handling_request: Whether the response to a request is awaited.
         """
+        if is_handling_request and not self._reader.is_refusing:
+            return False
         if self.can_parse(is_handling_request=is_handling_request):
             return True
         if is_handling_request or self._transport.has_unsent_bytes():
             return False
         if self._reader.queue:
-            return self.may_begin(self._reader.queue.first)
+            return self.may_begin(self._reader.queue[0])
         return self._rejection is not None
 
     def can_parse(self, *, is_handling_request: bool) -> bool:
         """Return whether a slice can be parsed now."""
-        if self._transport.discards_input or not self._reader.has_parsable_input():
+        if not self._reader.has_parsable_input() or self._transport.discards_input:
             return False
         if self._reader.is_refusing:
             return True
