--- a/loadbalancer/network/memory_budget.py
+++ b/loadbalancer/network/memory_budget.py
@@ -45,6 +45,8 @@
 class HeldKind(Enum):
     """What is held in memory for peers."""
 
+    __hash__ = object.__hash__  # that of Enum is a Python function, and each change of the budget calls it
+
     CONNECTIONS = "connections"
     INPUT = "input"
     """Input of clients that is not parsed, or is a part of an incomplete request."""
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -130,7 +130,8 @@
         """Discard the previous message if it was an interim response; no message may follow a final one."""
         if self._response is not None:
             raise InvalidResponseError(_MORE_THAN_ONE_RESPONSE)
-        self._drop_message()
+        if self._headers:
+            self._drop_message()  # an interim response
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, up to the size limit."""
