Peek at a connection without the cost of Python's socket class

Each request peeks twice: at the connection of its client and at the idle one to its upstream. Most of a peek was the set-up of a socket object and of its enumerations. The base class makes the same system calls.

--- a/loadbalancer/network/sockets.py
+++ b/loadbalancer/network/sockets.py
@@ -21,18 +21,9 @@
 closed.
 """
 
-
-class _BorrowedSocket(socket.socket):
-    """A socket object on the descriptor of a transport; leaving the context does not close the descriptor."""
-
-    __slots__ = ()
-
-    def __init__(self, transport: asyncio.BaseTransport) -> None:
-        original = transport.get_extra_info("socket")
-        super().__init__(original.family, original.type, original.proto, original.fileno())
-
-    def __exit__(self, *_: object) -> None:
-        self.detach()
+_FAMILY = int(socket.AF_INET)
+_TYPE = int(socket.SOCK_STREAM)
+_PEEK_FLAGS = int(socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
 
 def set_no_delay(transport: asyncio.BaseTransport) -> None:
@@ -46,20 +37,23 @@
     Returns:
         The byte; `b""` if the connection has ended; None if it is open and the receive buffer is empty.
     """
-    if _is_socket_closed(transport):
+    descriptor = _descriptor(transport)
+    if descriptor < 0:
+        return b""
+    borrowed = _borrow_socket(descriptor)
+    try:
+        return borrowed.recv(1, _PEEK_FLAGS)
+    except BlockingIOError:
+        return None
+    except OSError:
         return b""
-    with _BorrowedSocket(transport) as borrowed:
-        try:
-            return borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
+    finally:
+        borrowed.detach()
 
 
 def count_unread_bytes(transport: asyncio.BaseTransport) -> int | None:
     """Return the number of bytes that the kernel has received and the loop has not read; None if unknown."""
-    descriptor = transport.get_extra_info("socket").fileno()
+    descriptor = _descriptor(transport)
     try:
         return int(_INT.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(_INT.size)))[0])
     except (OSError, ValueError):
@@ -71,13 +65,27 @@
 
     The write buffer of the transport must be empty. Has no effect on a transport that is closing.
     """
-    if transport.is_closing() or _is_socket_closed(transport):
+    descriptor = _descriptor(transport)
+    if transport.is_closing() or descriptor < 0:
         return
-    # The kernel reports an error for a connection that has ended already.
-    with _BorrowedSocket(transport) as borrowed, contextlib.suppress(OSError):
-        borrowed.shutdown(socket.SHUT_WR)
+    borrowed = _borrow_socket(descriptor)
+    try:
+        # The kernel reports an error for a connection that has ended already.
+        with contextlib.suppress(OSError):
+            borrowed.shutdown(socket.SHUT_WR)
+    finally:
+        borrowed.detach()
+
 
+def _descriptor(transport: asyncio.BaseTransport) -> int:
+    """Return the descriptor of a transport; below 0 if closed, which may be before the transport knows."""
+    return int(transport.get_extra_info("socket").fileno())
 
-def _is_socket_closed(transport: asyncio.BaseTransport) -> bool:
-    """Return whether the socket is closed; after a cancelled connect it is, before the transport knows."""
-    return bool(transport.get_extra_info("socket").fileno() < 0)
+
+def _borrow_socket(descriptor: int) -> socket.SocketType:
+    """Return a socket object on a descriptor; it must be detached, or it would close the descriptor.
+
+    `SocketType` is the base class of `socket.socket`, without the cost of its enumerations. The family does
+    not matter to calls without an address.
+    """
+    return socket.SocketType(_FAMILY, _TYPE, 0, descriptor)
