--- a/loadbalancer/endpoint_list_document.py
+++ b/loadbalancer/endpoint_list_document.py
@@ -58,7 +58,7 @@
 
 
 def read_document(body: bytes, array_name: str, read_entry: Callable[[Any], object]) -> dict[str, Any]:
-    """Decode a JSON object, one member of which is an array, and convert each element as it is decoded.
+    """Decode a JSON object, one field of which is an array, and convert each element as it is decoded.
 
     Args:
         body: The JSON text, in UTF-8, UTF-16 or UTF-32.
@@ -66,24 +66,24 @@
         read_entry: Converts a decoded element of the array.
 
     Returns:
-        The members of the object; that of `array_name` is a list of converted elements.
+        The fields of the object; that of `array_name` is a list of converted elements.
 
     Raises:
         ValueError: The text is not JSON, or not an object.
     """
     cursor = _Cursor(body.decode(json.detect_encoding(body), "surrogatepass"))
-    members: dict[str, Any] = {}
-    for name in _iterate_members(cursor):
+    fields: dict[str, Any] = {}
+    for name in _iterate_fields(cursor):
         if name == array_name and cursor.skip("["):
-            members[name] = [read_entry(entry) for entry in _iterate_elements(cursor)]
+            fields[name] = [read_entry(entry) for entry in _iterate_elements(cursor)]
         else:
-            members[name] = cursor.decode_value()
+            fields[name] = cursor.decode_value()
     cursor.expect_end()
-    return members
+    return fields
 
 
-def _iterate_members(cursor: _Cursor) -> Iterator[str]:
-    """Yield the name of each member; the caller moves the cursor behind its value."""
+def _iterate_fields(cursor: _Cursor) -> Iterator[str]:
+    """Yield the name of each field; the caller moves the cursor behind its value."""
     cursor.expect("{")
     if cursor.skip("}"):
         return
--- a/loadbalancer/network/client/context.py
+++ b/loadbalancer/network/client/context.py
@@ -45,7 +45,7 @@
         is_shutting_down: Whether the listener is shutting down; health checks then fail, so that clients use
             another balancer.
         closes_connections: Whether each response closes the connection that it is sent on.
-        refuses_waiting_requests: Whether requests that wait behind others are refused.
+        rejects_waiting_requests: Whether requests that wait behind others are refused.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -59,7 +59,7 @@
     read_buffer: memoryview = field(default_factory=lambda: memoryview(bytearray(READ_BYTES)))
     is_shutting_down: bool = False
     closes_connections: bool = False
-    refuses_waiting_requests: bool = False
+    rejects_waiting_requests: bool = False
 
     def next_read_buffer(self) -> memoryview:
         """Return the part of the read buffer into which the next input of a connection is read."""
--- a/loadbalancer/network/client/eviction.py
+++ b/loadbalancer/network/client/eviction.py
@@ -51,7 +51,7 @@
         accept queue.
         """
         self._loop.call_later(timeouts.SWEEP_INTERVAL_S, self.sweep)
-        now, limits = time.monotonic(), timeouts.usual_timeouts()
+        now, limits = time.monotonic(), timeouts.default_timeouts()
         for connection in list(self._connections):
             connection.close_if_timed_out(now, limits)
 
--- a/loadbalancer/network/client/expiry.py
+++ b/loadbalancer/network/client/expiry.py
@@ -61,7 +61,7 @@
         responses. A request that has arrived but has not been read is not lost: the kernel is queried for
         unread bytes first, and a request found there is read although the timeout has passed.
 
-        One of these ends each connection, whatever its state:
+        One of these ends each connection, in any state:
 
         - A request arrives: its timeout, which begins with its first byte.
         - A request is open: its response, at its deadline at the latest.
--- a/loadbalancer/network/client/graceful_shutdown.py
+++ b/loadbalancer/network/client/graceful_shutdown.py
@@ -34,7 +34,7 @@
 SHUTDOWN_POLL_INTERVAL_S = 0.01
 """Interval between checks of the accept queue and of the connections."""
 
-SHUTDOWN_REFUSE_WAITING_S = 0.3
+SHUTDOWN_REJECT_WAITING_S = 0.3
 """How long before the open requests are aborted those that wait behind them are refused."""
 
 SHUTDOWN_KILL_S = 0.7
@@ -106,8 +106,8 @@
     async def _close_idle_connections(self) -> None:
         max_elapsed_s = SHUTDOWN_ACCEPT_S + self._max_deadline_s
         while self._listener.connections and self._elapsed_s() < max_elapsed_s:
-            if self._elapsed_s() >= max_elapsed_s - SHUTDOWN_REFUSE_WAITING_S:
-                self._refuse_waiting_requests()
+            if self._elapsed_s() >= max_elapsed_s - SHUTDOWN_REJECT_WAITING_S:
+                self._reject_waiting_requests()
             for connection in self._listener.connections:
                 is_recently_active = (
                     connection.idle_since >= time.monotonic() - SHUTDOWN_NEW_CONNECTION_GRACE_S
@@ -120,14 +120,14 @@
                     connection.close_gracefully()
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
 
-    def _refuse_waiting_requests(self) -> None:
-        self._context.refuses_waiting_requests = True
+    def _reject_waiting_requests(self) -> None:
+        self._context.rejects_waiting_requests = True
         for connection in self._listener.connections:
             if connection.has_unanswered_input():
                 connection.handle_waiting_input()
 
     async def _abort_open_requests(self) -> None:
-        self._refuse_waiting_requests()
+        self._reject_waiting_requests()
         self._context.handler.abort_open_requests()
         # On a busy loop a sleep of any length may take a single iteration. A connection that has just been
         # accepted needs several iterations until it is set up, its request read and the response written.
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -89,8 +89,8 @@
         if not self._transport.is_open:
             return False
         self._limits.apply()
-        if self._context.refuses_waiting_requests and self.has_open_request():
-            self.reader.refuse_queued()
+        if self._context.rejects_waiting_requests and self.has_open_request():
+            self.reader.reject_queued()
         for _ in range(STEPS_PER_SHARE):
             if self._current_request is not None and not self.reader.is_refusing:
                 break
--- a/loadbalancer/network/client/requests/http_parser.py
+++ b/loadbalancer/network/client/requests/http_parser.py
@@ -1,7 +1,7 @@
 """The parser of httptools, for a server that ignores offers of another protocol.
 
-If a request offers another protocol, httptools takes the end of its head for the end of the request, whatever
-its framing says, and does not parse what follows. A server may ignore the offer (RFC 9110, section 7.8); the
+If a request offers another protocol, httptools takes the end of its head for the end of the request, in spite
+of its framing, and does not parse what follows. A server may ignore the offer (RFC 9110, section 7.8); the
 body of the request follows then, and further HTTP/1.1 requests.
 """
 
@@ -87,7 +87,7 @@
             self._resume_behind_head(self._callbacks)
 
     def ignore_offer(self, headers: Headers) -> None:
-        """Go on behind a head that offers another protocol; no effect for any other head.
+        """Continue behind a head that offers another protocol; no effect for any other head.
 
         Args:
             headers: The validated headers of the head, with names in lower case.
--- a/loadbalancer/network/client/requests/request_queue.py
+++ b/loadbalancer/network/client/requests/request_queue.py
@@ -55,7 +55,7 @@
         del self[0]
         return refused.keep_alive
 
-    def refuse_all(self) -> None:
+    def reject_all(self) -> None:
         """Refuse all requests, and release what they occupy."""
         waiting = list(self)
         self.clear()
--- a/loadbalancer/network/client/requests/request_reader.py
+++ b/loadbalancer/network/client/requests/request_reader.py
@@ -150,10 +150,10 @@
         """Refuse the incomplete request and all that follow, and release the body that has been received."""
         self._parser.start_refusing()
 
-    def refuse_queued(self) -> None:
+    def reject_queued(self) -> None:
         """Refuse the queued requests too, and all that follow."""
         self.start_refusing()
-        self.queue.refuse_all()
+        self.queue.reject_all()
 
     def stop_refusing(self) -> None:
         """Queue the requests that begin from now on; the incomplete one is still refused."""
--- a/loadbalancer/network/client/timeouts.py
+++ b/loadbalancer/network/client/timeouts.py
@@ -35,7 +35,7 @@
 UNREAD_REJECTION_TIMEOUT_S = 1.0
 """How long a rejection waits until the client has read the responses before it.
 
-Together with `REQUEST_TIMEOUT_S` this is less than the 3 s within which an improper client is owed an error
+Together with `REQUEST_TIMEOUT_S` this is less than the 3 s within which an improper client must get an error
 or a close.
 """
 
@@ -69,8 +69,8 @@
     unread_s: float
 
 
-def usual_timeouts() -> ConnectionTimeouts:
-    """Return the timeouts while there is room for new connections."""
+def default_timeouts() -> ConnectionTimeouts:
+    """Return the timeouts while new connections are accepted."""
     return ConnectionTimeouts(REQUEST_TIMEOUT_S, KEEP_ALIVE_TIMEOUT_S, WRITE_STALL_TIMEOUT_S)
 
 
--- a/loadbalancer/network/client/waiting_input.py
+++ b/loadbalancer/network/client/waiting_input.py
@@ -17,7 +17,7 @@
 
 
 class WaitingInput:
-    """Tells what can be done next with the input of one connection.
+    """Determines what can be done next with the input of one connection.
 
     Args:
         limits: The limits on the input.
--- a/loadbalancer/network/discovery/connection.py
+++ b/loadbalancer/network/discovery/connection.py
@@ -83,7 +83,7 @@
         self._transport = cast("asyncio.Transport", transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse the next bytes of the response; bytes that no request asked for end the connection."""
+        """Parse the next bytes of the response; bytes without a request end the connection."""
         if self._response is None or self._response.done():
             self.close()
             return
--- a/loadbalancer/network/discovery/list_reader.py
+++ b/loadbalancer/network/discovery/list_reader.py
@@ -13,8 +13,8 @@
 class EndpointListReader:
     """Reads lists; entries that have not changed are those of earlier lists.
 
-    A whole list of thousands of entries would otherwise replace as many objects each time, whose memory the
-    allocator gets back in fragments.
+    A complete list of thousands of entries would otherwise replace as many objects each time, whose memory
+    the allocator gets back in fragments.
 
     Args:
         known: The endpoint list that is known at startup.
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -103,7 +103,7 @@
         return response
 
     def _drop_message(self) -> None:
-        """Drop what is held of the message, for the next one."""
+        """Drop the buffered part of the message, for the next one."""
         self._headers: Headers = []
         self._body = bytearray()
         self._body_bytes = 0
--- a/tests/network/client/test_connection_states.py
+++ b/tests/network/client/test_connection_states.py
@@ -1,4 +1,4 @@
-"""What is left over at the end of a share is seen again, and each state of a connection has an end."""
+"""The remaining work at the end of a share is seen again, and each state of a connection has an end."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
     from tests.support.proxy_harness import ProxyHarness
 
 LARGE_RESPONSE = response(200, b"x" * 60_000)
-SHARE_BYTES = STEPS_PER_SHARE * HEAD_SLICE_BYTES
+STEPS_BYTES = STEPS_PER_SHARE * HEAD_SLICE_BYTES
 # More requests than the kernel's buffers can hold responses for.
 MAX_REQUESTS = 1_000
 REQUEST_IDS = itertools.count(10_000)
@@ -55,7 +55,7 @@
 
 
 def use_up_budget_on_receipt(harness: ProxyHarness, monkeypatch: pytest.MonkeyPatch, min_bytes: int) -> None:
-    """Let other peers use up the memory budget when so many bytes of a client have been read at once."""
+    """Let other peers use up the memory budget when `min_bytes` of a client have been read at once."""
     receive = RequestReader.receive
 
     def receive_and_use_up(reader: RequestReader, data: bytes | memoryview, unread_bytes: int | None) -> None:
@@ -67,7 +67,7 @@
 
 
 class UnreadClient:
-    """A client that reads none of its responses until it is told to."""
+    """A client that leaves its responses unread until `read_responses` is called."""
 
     def __init__(self, harness: ProxyHarness) -> None:
         self._harness = harness
@@ -82,12 +82,12 @@
         """Send one request after the other, until a response stays in the proxy's write buffer."""
         proxy = self._harness.proxy
         responses = proxy.listener.context.counters.responses
-        answered_count, unread_count = responses[200], count_unread_responses(self._harness)
+        response_count, unread_count = responses[200], count_unread_responses(self._harness)
         for number in range(MAX_REQUESTS):
             await self.send(request_bytes("/read", next(REQUEST_IDS)))
             self.request_count += 1
             await wait_until(
-                partial(has_count, responses, answered_count + number + 1), "a response is written"
+                partial(has_count, responses, response_count + number + 1), "a response is written"
             )
             if count_unread_responses(self._harness) > unread_count:
                 return
@@ -111,7 +111,7 @@
 async def test_rejection_is_written_whatever_the_size_of_the_head(start_proxy: StartProxy) -> None:
     """Guards against a rejection that is left at the end of a share: it was never written (review case 7)."""
     harness = await start_proxy(Upstream())
-    sizes = {*range(400, 2 * SHARE_BYTES + 200, 150)}
+    sizes = {*range(400, 2 * STEPS_BYTES + 200, 150)}
     for slice_number in range(1, 2 * STEPS_PER_SHARE + 1):
         boundary = slice_number * HEAD_SLICE_BYTES
         sizes |= {boundary - 1, boundary, boundary + 1}
@@ -123,18 +123,18 @@
         client.writer.close()
 
 
-@pytest.mark.parametrize("whole_count", range(10))
-async def test_rejection_is_written_behind_responses(start_proxy: StartProxy, whole_count: int) -> None:
+@pytest.mark.parametrize("request_count", range(10))
+async def test_rejection_is_written_behind_responses(start_proxy: StartProxy, request_count: int) -> None:
     """Spoilt bytes behind requests that are answered at once, a number that ends a share among them."""
     harness = await start_proxy(Upstream())
     client = await harness.connect_client()
-    client.writer.write(b"GET /healthz HTTP/1.1\r\n\r\n" * whole_count + b"spoilt\r\n\r\n")
-    statuses = [status(await client.read_response()) for _ in range(whole_count + 1)]
-    assert statuses == [200] * whole_count + [400]
+    client.writer.write(b"GET /healthz HTTP/1.1\r\n\r\n" * request_count + b"spoilt\r\n\r\n")
+    statuses = [status(await client.read_response()) for _ in range(request_count + 1)]
+    assert statuses == [200] * request_count + [400]
     assert await client.reader.read() == b""
 
 
-async def test_incomplete_head_refused_within_its_share_is_rejected(
+async def test_incomplete_head_given_up_during_its_steps_is_rejected(
     start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a rejection that the share of the same connection decides at its end."""
@@ -168,15 +168,15 @@
     State("idle", b""),
     State("empty line", b"\r\n"),
     State("partial head", b"GET /read HT"),
-    State("partial head of several slices", improper_request(2 * SHARE_BYTES)[:-1]),
+    State("partial head of several slices", improper_request(2 * STEPS_BYTES)[:-1]),
     State("partial body", PARTIAL_BODY),
     State("discarded body", PARTIAL_BODY, is_memory_short=True),
-    State("improper request", improper_request(SHARE_BYTES)),
-    State("improper request and more", improper_request(SHARE_BYTES) + b"x" * 10_000),
+    State("improper request", improper_request(STEPS_BYTES)),
+    State("improper request and more", improper_request(STEPS_BYTES) + b"x" * 10_000),
     State("spoilt bytes", b"spoilt\r\n\r\n"),
     State("whole request", request_bytes("/read", 9_001)),
     State("whole request, then a partial one", request_bytes("/read", 9_002) + b"GET /read HT"),
-    State("long request", long_request(9_003, 2 * SHARE_BYTES)),
+    State("long request", long_request(9_003, 2 * STEPS_BYTES)),
     State("last request", request_bytes("/read", 9_004).replace(b"X-Class", b"Connection: close\r\nX-Class")),
     State("half closed", b"", half_closes=True),
     State("half closed within a request", b"GET /read HT", half_closes=True),
@@ -215,8 +215,8 @@
     budget, limit_bytes = harness.proxy.budget, harness.proxy.budget.limit_bytes
     client = UnreadClient(harness)
     await client.leave_response_unread()
-    use_up_budget_on_receipt(harness, monkeypatch, min_bytes=SHARE_BYTES)
-    await client.send(long_request(9_000, 2 * SHARE_BYTES))
+    use_up_budget_on_receipt(harness, monkeypatch, min_bytes=STEPS_BYTES)
+    await client.send(long_request(9_000, 2 * STEPS_BYTES))
     await wait_until(lambda: budget.limit_bytes < limit_bytes, "the request is read")
     budget.limit_bytes = limit_bytes
     assert await client.read_responses(client.request_count + 1) == [200] * (client.request_count + 1)
--- a/tests/network/client/test_graceful_shutdown.py
+++ b/tests/network/client/test_graceful_shutdown.py
@@ -253,7 +253,7 @@
 ) -> None:
     """Guards against an end after a fixed number of iterations, with requests left (review case 8)."""
     set_shutdown_times(monkeypatch, accept_s=0.0, keep_alive_s=0.0, max_deadline_s=0.2)
-    monkeypatch.setattr(graceful_shutdown, "SHUTDOWN_KILL_S", 60.0)  # whatever the speed of the machine
+    monkeypatch.setattr(graceful_shutdown, "SHUTDOWN_KILL_S", 60.0)  # at any speed of the machine
     client_count, request_count = 4, 3_000
     harness = await start_proxy(Upstream(never_respond))
     clients = [await harness.connect_client() for _ in range(client_count)]
@@ -269,12 +269,12 @@
         assert set(statuses) <= {502, 503}
 
 
-async def test_requests_that_wait_behind_others_are_refused_before_the_end(
+async def test_requests_that_wait_behind_others_are_rejected_before_the_end(
     start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Their refusals take no time from the final responses; a request that waits for none is forwarded."""
     set_shutdown_times(monkeypatch, accept_s=0.0, keep_alive_s=0.0, max_deadline_s=60.0)
-    monkeypatch.setattr(graceful_shutdown, "SHUTDOWN_REFUSE_WAITING_S", 120.0)
+    monkeypatch.setattr(graceful_shutdown, "SHUTDOWN_REJECT_WAITING_S", 120.0)
     upstream = Upstream(never_respond)
     harness = await start_proxy(upstream)
     harness.proxy.listener.max_deadline_s = 60.0
@@ -284,7 +284,7 @@
     await upstream.request_received.wait()
     shutdown = asyncio.ensure_future(harness.proxy.listener.shut_down())
     context = harness.proxy.listener.context
-    await wait_until(lambda: context.refuses_waiting_requests, "waiting requests are refused")
+    await wait_until(lambda: context.rejects_waiting_requests, "waiting requests are refused")
     for writer in upstream.writers:
         writer.write(response())
     assert [status(await client.read_response()) for _ in range(3)] == [200, 503, 503]
--- a/tests/network/client/test_message_boundaries.py
+++ b/tests/network/client/test_message_boundaries.py
@@ -1,4 +1,4 @@
-"""The balancer and its parser agree on where a request ends, whatever its form and its pieces."""
+"""The balancer and its parser agree on where a request ends, in any form and any pieces."""
 
 from __future__ import annotations
 
@@ -78,7 +78,7 @@
 
 @pytest.mark.parametrize("piece_bytes", [1, 10_000])
 @pytest.mark.parametrize("fields", [b"", UPGRADE_OFFER])
-def test_refused_body_ends_where_its_framing_says(fields: bytes, piece_bytes: int) -> None:
+def test_rejected_body_ends_where_its_framing_says(fields: bytes, piece_bytes: int) -> None:
     """Guards against request smuggling while requests are refused: each one is refused exactly once."""
     data = with_length(b"a1", QUOTED_REQUEST, fields) + chunked(b"a2", QUOTED_REQUEST, fields)
     parsed = ParsedInput(data, piece_bytes, is_refusing=True)
@@ -87,7 +87,7 @@
 
 
 @pytest.mark.parametrize("method", [b"HEAD", b"CONNECT", b"PUT"])
-def test_refused_request_with_other_method_ends_the_connection(method: bytes) -> None:
+def test_other_method_ends_the_connection_while_requests_are_rejected(method: bytes) -> None:
     """Guards against a refusal with a body in response to HEAD, which the client reads as a response."""
     data = with_length(b"a1", b"") + method + b" /read HTTP/1.1\r\n\r\n" + with_length(b"a2", b"")
     parsed = ParsedInput(data, 10_000, is_refusing=True)
--- a/tests/network/client/test_pipelined_requests.py
+++ b/tests/network/client/test_pipelined_requests.py
@@ -89,7 +89,7 @@
 
 
 async def test_input_behind_an_open_request_is_bounded(start_proxy: StartProxy) -> None:
-    """Guards against work without bound that is owed at a shutdown: beyond the bound requests are refused."""
+    """Guards against unbounded work at a shutdown: beyond the bound requests are rejected."""
     upstream = Upstream(never_respond)
     harness = await start_proxy(upstream)
     budget = harness.proxy.budget
--- a/tests/network/discovery/test_discovery_connection.py
+++ b/tests/network/discovery/test_discovery_connection.py
@@ -68,11 +68,13 @@
         server.stop()
 
 
-async def send_in_pieces(writer: asyncio.StreamWriter, data: bytes, piece_count: int, pause_s: float) -> None:
+async def send_in_pieces(
+    writer: asyncio.StreamWriter, data: bytes, piece_count: int, interval_s: float
+) -> None:
     size = len(data) // piece_count + 1
     for start in range(0, len(data), size):
         writer.write(data[start : start + size])
-        await asyncio.sleep(pause_s)
+        await asyncio.sleep(interval_s)
 
 
 @pytest.mark.parametrize("begins_late", [False, True])
@@ -129,7 +131,7 @@
 
 @pytest.mark.parametrize("extra_bytes", [response(200, b"stale"), b"HTTP/1.1 200 OK\r\nContent-Le"])
 async def test_bytes_without_request_end_the_connection(extra_bytes: bytes) -> None:
-    """Guards against a list that no request asked for being taken for the response to the next request."""
+    """Guards against a list without a request being taken for the response to the next request."""
     server = DiscoveryServer()
     connection = await connect(server)
     try:
--- a/tests/network/discovery/test_list_reader.py
+++ b/tests/network/discovery/test_list_reader.py
@@ -21,8 +21,8 @@
     return reader.read(json.dumps(document).encode())
 
 
-def test_unchanged_entries_keep_their_objects() -> None:
-    """Guards against a heap that grows in fragments: each whole list replaced thousands of objects."""
+def test_unchanged_entries_are_reused() -> None:
+    """Guards against a heap that grows in fragments: each complete list replaced thousands of objects."""
     known = read_endpoint_list(document(entry("s0", "127.0.0.1:1"), entry("s1", "127.0.0.1:2")))
     reader = EndpointListReader(known)
     changed = entry("s1", "127.0.0.1:2", status="terminating")
--- a/tests/network/test_response_parser.py
+++ b/tests/network/test_response_parser.py
@@ -1,4 +1,4 @@
-"""The balancer and its parser agree on where a response ends, whatever its form and its pieces."""
+"""The balancer and its parser agree on where a response ends, in any form and any pieces."""
 
 from __future__ import annotations
 
@@ -102,7 +102,7 @@
         encode(b"HTTP/1.1 503 Busy", b"X-Long: %b\r\nContent-Length: 0\r\n" % (b"y" * 30_000)),
     ],
 )
-def test_nothing_is_held_after_response(data: bytes, piece_bytes: int) -> None:
+def test_nothing_is_buffered_after_response(data: bytes, piece_bytes: int) -> None:
     """Guards against idle connections that each keep their last response (review case 9)."""
     response, parser = parse(data, piece_bytes)
     assert response is not None
@@ -110,7 +110,7 @@
     assert parser.feed(NEXT_RESPONSE) is not None
 
 
-def test_nothing_is_held_after_response_without_length() -> None:
+def test_nothing_is_buffered_after_response_without_length() -> None:
     parser = ResponseParser()
     parser.feed(encode(b"HTTP/1.1 200 OK", b"", b"x" * 60_000))
     response = parser.finish()
--- a/tests/network/test_turn_scheduler.py
+++ b/tests/network/test_turn_scheduler.py
@@ -74,7 +74,7 @@
         return super().run_share()
 
 
-async def test_turn_does_not_end_when_the_clock_moves() -> None:
+async def test_limit_applies_when_the_clock_moves() -> None:
     """Guards against each reading of a clock that moves within an iteration being taken for a new turn."""
     turns, record = TurnScheduler(asyncio.get_running_loop()), list[str]()
     for number in range(3 * SHARES_PER_TURN):
@@ -82,8 +82,8 @@
     assert len(record) == SHARES_PER_TURN
 
 
-async def test_shares_of_separate_turns_are_not_added_up() -> None:
-    """A worker that asks once in each iteration gets its share at once, also after many iterations."""
+async def test_limit_applies_to_each_iteration() -> None:
+    """A worker that requests once in each iteration gets its share at once, also after many iterations."""
     turns, record = TurnScheduler(asyncio.get_running_loop()), list[str]()
     for number in range(5 * SHARES_PER_TURN):
         turns.request_share(CountingWorker(f"w{number}", 1, record))
