--- a/loadbalancer/network/client/eviction.py
+++ b/loadbalancer/network/client/eviction.py
@@ -5,7 +5,6 @@
 import math
 import time
 from enum import IntEnum
-from functools import partial
 from typing import TYPE_CHECKING
 
 from loadbalancer.network.client import timeouts
@@ -70,9 +69,10 @@
         self._last_eviction_at = now
         limits = timeouts.timeouts_under_pressure()
         remaining_evictions = max(len(self._connections) // EVICTION_DIVISOR, 1)
-        for connection in sorted(self._connections, key=partial(_eviction_sort_key, now)):
-            is_first_to_go = _eviction_rank(connection, now) < EvictionRank.OTHER
-            if not is_first_to_go and remaining_evictions <= 0:
+        ranks = {connection: _eviction_rank(connection, now) for connection in self._connections}
+        # Within a rank, the longest idle ones come first.
+        for connection in sorted(ranks, key=lambda connection: (ranks[connection], connection.idle_since)):
+            if ranks[connection] is EvictionRank.OTHER and remaining_evictions <= 0:
                 break
             remaining_evictions -= connection.close_if_timed_out(now, limits)
 
@@ -112,8 +112,3 @@
     if connection.is_stalled(now, timeouts.WRITE_STALL_TIMEOUT_UNDER_PRESSURE_S):
         return EvictionRank.STALLED
     return EvictionRank.AWAITING_REQUEST if connection.is_awaiting_request() else EvictionRank.OTHER
-
-
-def _eviction_sort_key(now: float, connection: ClientConnection) -> tuple[EvictionRank, float]:
-    """Return a sort key: by rank, and within a rank the longest idle ones first."""
-    return _eviction_rank(connection, now), connection.idle_since
--- a/loadbalancer/network/client/expiry.py
+++ b/loadbalancer/network/client/expiry.py
@@ -83,8 +83,6 @@
             return False
         if self._transport.is_reading_paused and self._transport.has_client_disconnected():
             return False  # aborted by the check: the event loop detects no disconnect while reading is paused
-        if self._transport.has_unsent_bytes() and self._reader.unparsed_bytes:
-            return False
         if self.is_awaiting_request():
             return self._close_if_request_timed_out(now, limits.request_s)
         if self.is_idle():
@@ -126,11 +124,12 @@
 
     def _abort_if_unread(self, now: float, unread_s: float) -> bool:
         """Abort if the client has stopped reading: what waits behind the response can't be handled."""
+        if not self._transport.has_unsent_bytes():
+            return False
         if self._transport.is_abort_scheduled and not self._transport.is_disconnected:
             return False  # the last response has been written, and its timer runs
         is_rejection_late = now - self._pipeline.rejection_pending_since > timeouts.UNREAD_REJECTION_TIMEOUT_S
-        is_unread = self._transport.has_unsent_bytes() and is_rejection_late
-        if not is_unread and not self.is_stalled(now, unread_s):
+        if not is_rejection_late and not self.is_stalled(now, unread_s):
             return False
         self._transport.abort(CloseReason.UNREAD_RESPONSE)
         return True
--- a/loadbalancer/network/client/graceful_shutdown.py
+++ b/loadbalancer/network/client/graceful_shutdown.py
@@ -121,7 +121,9 @@
             await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
 
     def _reject_waiting_requests(self) -> None:
-        self._context.rejects_waiting_requests = True
+        if self._context.rejects_waiting_requests:
+            return
+        self._context.rejects_waiting_requests = True  # which applies to input that is yet to come, too
         for connection in self._listener.connections:
             if connection.has_unanswered_input():
                 connection.handle_waiting_input()
--- a/loadbalancer/network/client/pipeline.py
+++ b/loadbalancer/network/client/pipeline.py
@@ -66,10 +66,6 @@
         """Return whether a request is being handled or is queued."""
         return self._current_request is not None or bool(self.reader.queue)
 
-    def has_only_queued_requests(self) -> bool:
-        """Return whether requests are queued and none is being handled."""
-        return self._current_request is None and bool(self.reader.queue)
-
     def has_client_disconnected(self) -> bool:
         """Return whether the client has closed the connection or its sending side."""
         return self._transport.has_client_disconnected()
@@ -202,10 +198,8 @@
         count = min(max(refused.count - 1, 1), REFUSALS_PER_STEP)  # the last one may end the connection
         keep_alive = self.reader.queue.take_refused(refused, count)
         self._context.counters.refused_for_memory += count
-        if refused.count:
-            self._writer.write_refusals(NO_MEMORY, count)
-        else:
-            self._writer.write_rejection(NO_MEMORY, is_final=self._is_final(keep_alive=keep_alive))
+        is_final = self._is_final(keep_alive=keep_alive)
+        self._writer.write_rejection(NO_MEMORY, is_final=is_final, count=count)
 
 
 def _respond_to_health_check(request: IncomingRequest, *, is_shutting_down: bool) -> None:
--- a/loadbalancer/network/client/requests/request_parser.py
+++ b/loadbalancer/network/client/requests/request_parser.py
@@ -19,6 +19,7 @@
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEADER_FIELDS,
+    VERSION_WITHOUT_CODINGS,
     Headers,
 )
 
@@ -35,8 +36,7 @@
 VERSION_NOT_SUPPORTED = Rejection(505, "HTTP/1.1 or HTTP/1.0")
 CHUNKED_BEFORE_1_1 = Rejection(400, "HTTP/1.0 has no Transfer-Encoding")
 
-VERSION_1_0 = "1.0"
-SUPPORTED_VERSIONS = ("1.1", VERSION_1_0)
+SUPPORTED_VERSIONS = ("1.1", VERSION_WITHOUT_CODINGS)
 
 
 class _PartialHead:
@@ -243,7 +243,7 @@
     """Check that the framing of a request is that of its version (RFC 9112, section 6.1)."""
     if version not in SUPPORTED_VERSIONS:
         raise RequestRejectedError(VERSION_NOT_SUPPORTED)
-    if version == VERSION_1_0 and any(name == b"transfer-encoding" for name, _ in fields):
+    if version == VERSION_WITHOUT_CODINGS and any(name == b"transfer-encoding" for name, _ in fields):
         raise RequestRejectedError(CHUNKED_BEFORE_1_1)
 
 
--- a/loadbalancer/network/client/response_writer.py
+++ b/loadbalancer/network/client/response_writer.py
@@ -62,23 +62,25 @@
         self._transport = transport
         self.idle_since = connected_at
 
-    def write(self, status: int, headers: Headers, body: bytes, *, is_final: bool) -> None:
-        """Write a response; close the connection after it if it is the final one."""
+    def write(self, status: int, headers: Headers, body: bytes, *, is_final: bool, count: int = 1) -> None:
+        """Write a response; close the connection after it if it is the final one.
+
+        Args:
+            status: The status code.
+            headers: The headers besides Content-Length and Connection.
+            body: The body.
+            is_final: Whether the connection is closed after the response.
+            count: The number of requests in a row that get the same response.
+        """
         self.idle_since = time.monotonic()
-        self._context.counters.responses[status] += 1
-        self._transport.write(serialize_response(status, headers, body, closes_connection=is_final))
+        self._context.counters.responses[status] += count
+        self._transport.write(serialize_response(status, headers, body, closes_connection=is_final) * count)
         if is_final:
             is_shutdown = self._context.closes_connections
             reason = CloseReason.SHUTDOWN if is_shutdown else CloseReason.FINAL_RESPONSE
             self._transport.close_gracefully(reason, timeouts.LINGER_TIMEOUT_S)
 
-    def write_refusals(self, rejection: Rejection, count: int) -> None:
-        """Write the same response to several requests at once, none of which is the last one."""
-        self.idle_since = time.monotonic()
-        self._context.counters.responses[rejection.status] += count
+    def write_rejection(self, rejection: Rejection, *, is_final: bool, count: int = 1) -> None:
+        """Write the response to requests that are not accepted."""
         body = rejection.reason.encode() + b"\n"
-        self._transport.write(serialize_response(rejection.status, [], body, closes_connection=False) * count)
-
-    def write_rejection(self, rejection: Rejection, *, is_final: bool) -> None:
-        """Write the response to a request that is not accepted."""
-        self.write(rejection.status, [], rejection.reason.encode() + b"\n", is_final=is_final)
+        self.write(rejection.status, [], body, is_final=is_final, count=count)
--- a/loadbalancer/network/discovery/connection.py
+++ b/loadbalancer/network/discovery/connection.py
@@ -76,7 +76,7 @@
     @property
     def is_receiving(self) -> bool:
         """Whether a response has begun and is not complete."""
-        return self._response is not None and not self._response.done() and self._began_at is not None
+        return self._has_open_request() and self._began_at is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -84,7 +84,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the next bytes of the response; bytes without a request end the connection."""
-        if self._response is None or self._response.done():
+        if not self._has_open_request():
             self.close()
             return
         try:
@@ -97,14 +97,14 @@
             self._extend_timeout()
             return
         self.is_closed = self.is_closed or not self._parser.may_reuse
-        self._response.set_result(response)
+        self._complete(response)
 
     def eof_received(self) -> None:
         """Take a response without a length as complete: the orderly end of the connection ends it."""
         self.is_closed = True
         response = self._parser.finish()
-        if response is not None and self._response is not None and not self._response.done():
-            self._response.set_result(response)
+        if response is not None:
+            self._complete(response)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress, if there is one."""
@@ -149,6 +149,13 @@
         if self._timeout is not None:
             self._timeout.reschedule(min(now + STALL_TIMEOUT_S, self._began_at + BODY_TIMEOUT_S))
 
+    def _has_open_request(self) -> bool:
+        return self._response is not None and not self._response.done()
+
+    def _complete(self, response: Response) -> None:
+        if self._response is not None and not self._response.done():
+            self._response.set_result(response)
+
     def _fail(self, error: Exception) -> None:
         if self._response is not None and not self._response.done():
             self._response.set_exception(error)
--- a/loadbalancer/network/headers.py
+++ b/loadbalancer/network/headers.py
@@ -14,6 +14,9 @@
 MAX_HEADER_FIELDS = 100
 """Maximum number of header fields of a request or response; a field costs far more memory than its text."""
 
+VERSION_WITHOUT_CODINGS = "1.0"
+"""The version of HTTP whose messages have no Transfer-Encoding (RFC 9112, section 6.1)."""
+
 FIELD_WHITE_SPACE = b" \t"
 """White space around a field value, which is not a part of it (RFC 9110, section 5.5)."""
 
--- a/loadbalancer/network/response_parser.py
+++ b/loadbalancer/network/response_parser.py
@@ -10,6 +10,7 @@
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEADER_FIELDS,
+    VERSION_WITHOUT_CODINGS,
     Headers,
 )
 from loadbalancer.network.memory_budget import HEADER_FIELD_BYTES
@@ -21,7 +22,6 @@
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = (204, 304)
-_VERSION_WITHOUT_CODINGS = "1.0"
 
 _HEADERS_TOO_LARGE = "headers too large"
 _INTERIM_RESPONSES_TOO_LARGE = "headers and interim responses too large"
@@ -59,11 +59,8 @@
         self._max_body_bytes = max_body_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._response: Response | None = None
-        self._bytes_since_response = 0
         self._may_reuse = False
-        self._ends_with_connection = False  # whether the end of the connection ends the response
-        self._has_certain_end = True  # whether the upstream can't take the end to be elsewhere
-        self._drop_message()
+        self._release()
 
     @property
     def may_reuse(self) -> bool:
@@ -108,8 +105,8 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._header_bytes = 0
-        self._ends_with_connection = False
-        self._has_certain_end = True
+        self._ends_with_connection = False  # whether the end of the connection ends the response
+        self._has_certain_end = True  # whether the upstream can't take the end to be elsewhere
 
     def _release(self) -> None:
         """Hold nothing of a response that was passed on: the connection may be idle for a long time."""
@@ -170,7 +167,7 @@
         """Determine what ends the body, and whether that is certain (RFC 9112, section 6.1)."""
         self._ends_with_connection = not has_length and not is_chunked
         if is_chunked:
-            self._has_certain_end = self._parser.get_http_version() != _VERSION_WITHOUT_CODINGS
+            self._has_certain_end = self._parser.get_http_version() != VERSION_WITHOUT_CODINGS
 
     def _is_valid_length(self, length: bytes) -> bool:
         if not length.isdigit() or len(length) > _MAX_LENGTH_DIGITS:
--- a/tests/network/client/test_connection_states.py
+++ b/tests/network/client/test_connection_states.py
@@ -15,7 +15,7 @@
 from loadbalancer.network.client.pipeline import STEPS_PER_SHARE
 from loadbalancer.network.client.requests.request_reader import HEAD_SLICE_BYTES, RequestReader
 from tests.support.disconnecting_clients import request_bytes, wait_until_disconnected
-from tests.support.http_messages import response, status
+from tests.support.http_messages import read_message, response, status
 from tests.support.scripted_upstream import Upstream
 from tests.support.waiting import wait_until
 
@@ -96,16 +96,10 @@
     async def read_responses(self, count: int) -> list[int]:
         """Read responses, and return their statuses."""
         reader, writer = await asyncio.open_connection(sock=self.socket)
-        statuses = []
         try:
-            for _ in range(count):
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
-                await reader.readexactly(length)
-                statuses.append(int(head.split(b" ")[1]))
+            return [status(await read_message(reader)) for _ in range(count)]
         finally:
             writer.transport.abort()
-        return statuses
 
 
 async def test_rejection_is_written_whatever_the_size_of_the_head(start_proxy: StartProxy) -> None:
--- a/tests/network/client/test_graceful_shutdown.py
+++ b/tests/network/client/test_graceful_shutdown.py
@@ -50,10 +50,6 @@
     return client
 
 
-async def read_statuses(client: Client, count: int) -> list[int]:
-    return [status(await client.read_response()) for _ in range(count)]
-
-
 async def test_connections_stay_open_for_keep_alive_time(
     start_proxy: StartProxy, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -261,7 +257,7 @@
         ids = range(number * request_count, (number + 1) * request_count)
         client.writer.write(b"".join(request_bytes("/read", request_id) for request_id in ids))
     await wait_until(lambda: harness.proxy.open_requests == client_count, "a request of each is open")
-    reading = [asyncio.ensure_future(read_statuses(client, request_count)) for client in clients]
+    reading = [asyncio.ensure_future(client.read_statuses(request_count)) for client in clients]
     await harness.proxy.listener.shut_down()
     responses = harness.proxy.listener.context.counters.responses
     assert responses[502] + responses[503] == client_count * request_count
--- a/tests/network/client/test_pipelined_requests.py
+++ b/tests/network/client/test_pipelined_requests.py
@@ -17,7 +17,6 @@
 
 if TYPE_CHECKING:
     from tests.support.fixture_types import StartProxy
-    from tests.support.http_client import Client
 
 UNREAD_BYTES = 400_000
 
@@ -25,10 +24,6 @@
 NOTICE_TIME_S = 0.1
 
 
-async def read_statuses(client: Client, count: int) -> list[int]:
-    return [status(await client.read_response()) for _ in range(count)]
-
-
 async def test_pipelined_requests_are_answered_when_buffers_are_full(start_proxy: StartProxy) -> None:
     """Guards against whole requests that are dropped together with the input that exceeds the buffers."""
     client_count, request_count = 16, 20
@@ -39,7 +34,7 @@
     for client in clients:
         for _ in range(request_count):
             client.send("/pay/x", b"x" * 16_000)
-    statuses = await asyncio.gather(*[read_statuses(client, request_count) for client in clients])
+    statuses = await asyncio.gather(*[client.read_statuses(request_count) for client in clients])
     assert {code for client_statuses in statuses for code in client_statuses} <= {200, 503}
 
 
@@ -54,7 +49,7 @@
     client.send(path, body, deadline="600m", x_request_id="first")
     for _ in range(request_count):
         client.send(path, body, deadline="300m")
-    assert set(await read_statuses(client, 1 + request_count)) <= {502, 503}
+    assert set(await client.read_statuses(1 + request_count)) <= {502, 503}
     assert {request.headers["x-request-id"] for request in upstream.received} == {"first"}
 
 
@@ -106,4 +101,4 @@
     assert peak_bytes <= MAX_UNHANDLED_BYTES + READ_BYTES
     upstream.writers[0].write(response())
     assert status(await client.read_response()) == 200
-    assert set(await read_statuses(client, count)) == {503}
+    assert set(await client.read_statuses(count)) == {503}
--- a/tests/support/http_client.py
+++ b/tests/support/http_client.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 
-from tests.support.http_messages import ReceivedMessage, read_message
+from tests.support.http_messages import ReceivedMessage, read_message, status
 from tests.support.sockets import connect_if_listening
 from tests.support.waiting import wait_until
 
@@ -62,3 +62,7 @@
     async def read_response(self) -> ReceivedMessage:
         """Read the next response."""
         return await read_message(self.reader)
+
+    async def read_statuses(self, count: int) -> list[int]:
+        """Read the next responses, and return their status codes."""
+        return [status(await self.read_response()) for _ in range(count)]
